Add the workspace, wire protocol and shared values

Cause: nothing exists yet; every part needs result codes, messages between nodes, the catalogue values, telemetry and one way to build and test.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Commands of the project; README.md says when to use which.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/installed
+PACKAGES := core operators entry agent standins measures
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
+
+.PHONY: demo format lint measure test venv
+
+venv: $(STAMP)
+
+$(STAMP): requirements.lock $(foreach name,$(PACKAGES),packages/$(name)/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
+	touch $(STAMP)
+
+format: $(STAMP)
+	$(BIN)/ruff format packages
+	$(BIN)/ruff check --fix packages
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check packages
+	$(BIN)/ruff check packages
+
+test: lint
+	$(BIN)/pytest
+
+demo: $(STAMP)
+	$(BIN)/python -m eelgrassdale_standins.demo
+
+measure: $(STAMP)
+	$(BIN)/python -m eelgrassdale_measures $(MEASURE)
--- /dev/null
+++ b/packages/agent/eelgrassdale_agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent that runs beside one backend server."""
--- /dev/null
+++ b/packages/core/eelgrassdale/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the agent about requests."""
--- /dev/null
+++ b/packages/core/eelgrassdale/hashing.py
@@ -0,0 +1,43 @@
+"""Digests and rendezvous hashing."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def digest_of(data: bytes) -> str:
+    """Return the xxh3_128 digest of `data` as 32 hexadecimal characters.
+
+    Examples
+    --------
+    >>> len(digest_of(b"weights"))
+    32
+
+    """
+    return xxhash.xxh3_128_hexdigest(data)
+
+
+def rendezvous_weight(*, topic: str, member: str) -> int:
+    """Return the 64-bit rendezvous weight of `member` for `topic`."""
+    return xxhash.xxh3_64_intdigest(f"{topic}\x00{member}".encode())
+
+
+def rendezvous_order(*, topic: str, members: Iterable[str]) -> list[str]:
+    """Return the members from highest to lowest rendezvous weight.
+
+    Every node that knows the same members computes the same order, and adding
+    or removing one member leaves the relative order of the others unchanged.
+
+    Examples
+    --------
+    >>> full = rendezvous_order(topic="t", members=["a", "b", "c"])
+    >>> fewer = rendezvous_order(topic="t", members=set(full) - {full[0]})
+    >>> fewer == full[1:]
+    True
+
+    """
+    return sorted(
+        members,
+        key=lambda member: (rendezvous_weight(topic=topic, member=member), member),
+        reverse=True,
+    )
--- /dev/null
+++ b/packages/core/eelgrassdale/identity.py
@@ -0,0 +1,53 @@
+"""Who a process is: its name, place and incarnation."""
+
+import secrets
+from datetime import datetime
+from enum import Enum
+
+from attrs import frozen
+
+INCARNATION_RANDOM_BITS = 20
+
+
+class Role(Enum):
+    """Which of the two programs a process runs."""
+
+    ENTRY = "entry"
+    BACKEND = "backend"
+
+
+@frozen(kw_only=True)
+class Identity:
+    """Name, role, place and incarnation of one process.
+
+    `incarnation` is positive, fits a signed 64-bit integer and grows with the
+    start time, so a later life of the same VM has the higher number.
+    """
+
+    name: str
+    role: Role
+    data_centre: str
+    region: str
+    node_address: str
+    incarnation: int
+
+
+def new_incarnation(*, started_at: datetime) -> int:
+    """Return the incarnation of a process that started at `started_at`.
+
+    The upper bits are milliseconds since 1970, the lower 20 bits are random,
+    which keeps two starts within one millisecond apart.
+
+    Examples
+    --------
+    >>> from datetime import UTC, datetime, timedelta
+    >>> first = datetime(2026, 1, 1, tzinfo=UTC)
+    >>> later = first + timedelta(milliseconds=1)
+    >>> new_incarnation(started_at=first) < new_incarnation(started_at=later)
+    True
+
+    """
+    milliseconds = int(started_at.timestamp() * 1000)
+    return (milliseconds << INCARNATION_RANDOM_BITS) | secrets.randbits(
+        INCARNATION_RANDOM_BITS
+    )
--- /dev/null
+++ b/packages/core/eelgrassdale/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Liveness and failure detection of nodes."""
--- /dev/null
+++ b/packages/core/eelgrassdale/results/errors.py
@@ -0,0 +1,54 @@
+"""Errors that carry a result code."""
+
+from attrs import frozen
+
+from eelgrassdale.results.codes import ResultCode, verdict_of
+
+
+@frozen(kw_only=True)
+class Problem:
+    """One fault of an input: the field, its value and what is allowed."""
+
+    field: str
+    value: object
+    allowed: str
+
+    def __str__(self) -> str:
+        """Return the problem as one line.
+
+        Examples
+        --------
+        >>> str(Problem(field="queue_limit", value=-1, allowed="1 to 10000"))
+        'queue_limit: got -1, allowed: 1 to 10000'
+
+        """
+        return f"{self.field}: got {self.value!r}, allowed: {self.allowed}"
+
+
+@frozen(kw_only=True)
+class ResultError:
+    """A failure as a value, for the error side of `expression.Result`."""
+
+    code: ResultCode
+    message: str = ""
+    problems: tuple[Problem, ...] = ()
+
+    def as_json(self) -> dict[str, object]:
+        """Return the body of an HTTP error answer.
+
+        Examples
+        --------
+        >>> err = ResultError(code=ResultCode.QUEUE_FULL)
+        >>> err.as_json()["code"], err.as_json()["ran"]
+        (105, 'not run')
+
+        """
+        verdict = verdict_of(self.code)
+        return {
+            "code": int(self.code),
+            "name": self.code.name,
+            "ran": verdict.ran.value,
+            "retry": verdict.retry.value,
+            "message": self.message or verdict.meaning,
+            "problems": [str(problem) for problem in self.problems],
+        }
--- /dev/null
+++ b/packages/core/eelgrassdale/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the entry node."""
--- /dev/null
+++ b/packages/core/eelgrassdale/spread/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration generations and how they reach every node."""
--- /dev/null
+++ b/packages/core/eelgrassdale/telemetry/__init__.py
@@ -0,0 +1,15 @@
+"""Logs, metrics, traces and invariant checks of a process."""
+
+from eelgrassdale.telemetry.invariants import InvariantMonitor
+from eelgrassdale.telemetry.logs import configure_logs
+from eelgrassdale.telemetry.metrics import Metrics
+from eelgrassdale.telemetry.traces import SpanKind, Tracer, new_tracer
+
+__all__ = [
+    "InvariantMonitor",
+    "Metrics",
+    "SpanKind",
+    "Tracer",
+    "configure_logs",
+    "new_tracer",
+]
--- /dev/null
+++ b/packages/core/eelgrassdale/weights/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about the distribution of model weights."""
--- /dev/null
+++ b/packages/core/eelgrassdale/wire/__init__.py
@@ -0,0 +1,55 @@
+"""Thrift messages between nodes, their client connections and server."""
+
+from eelgrassdale.wire.client import (
+    NodeConnection,
+    NotDeliveredError,
+    UnknownDeliveryError,
+    WireError,
+)
+from eelgrassdale.wire.protocol import (
+    AgentService,
+    CallRequest,
+    ChunkAnswer,
+    ChunkRequest,
+    CompareAnswer,
+    CompareRequest,
+    ConfigDelta,
+    ConfigObject,
+    Cursor,
+    Envelope,
+    Frame,
+    Headroom,
+    ManifestAnswer,
+    NodeService,
+    NodeStatus,
+    PollAnswer,
+    ProbeAnswer,
+    SubmitAnswer,
+)
+from eelgrassdale.wire.server import NodeServer
+
+__all__ = [
+    "AgentService",
+    "CallRequest",
+    "ChunkAnswer",
+    "ChunkRequest",
+    "CompareAnswer",
+    "CompareRequest",
+    "ConfigDelta",
+    "ConfigObject",
+    "Cursor",
+    "Envelope",
+    "Frame",
+    "Headroom",
+    "ManifestAnswer",
+    "NodeConnection",
+    "NodeServer",
+    "NodeService",
+    "NodeStatus",
+    "NotDeliveredError",
+    "PollAnswer",
+    "ProbeAnswer",
+    "SubmitAnswer",
+    "UnknownDeliveryError",
+    "WireError",
+]
--- /dev/null
+++ b/packages/core/eelgrassdale/wire/client.py
@@ -0,0 +1,113 @@
+"""One client connection to another node.
+
+A connection belongs to one task and is not shared between threads. Errors say
+whether the call can have reached the other node, because a refusal may only
+say `not run` where that is certain.
+"""
+
+import socket
+from typing import Any
+
+from attrs import frozen
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.thrift import TClient
+from thriftpy2.transport import TCyFramedTransportFactory, TSocket
+
+from eelgrassdale.wire.protocol import AgentService
+
+
+class WireError(Exception):
+    """A call to another node failed."""
+
+
+class NotDeliveredError(WireError):
+    """No byte of the call was sent."""
+
+
+class UnknownDeliveryError(WireError):
+    """The call was sent at least in part and its answer did not arrive."""
+
+
+@frozen(kw_only=True)
+class Address:
+    """IP address and port of a node."""
+
+    host: str
+    port: int
+
+
+def parse_address(text: str) -> Address:
+    """Return the address written as `host:port`.
+
+    Examples
+    --------
+    >>> parse_address("127.0.0.1:7000").port
+    7000
+
+    """
+    host, _, port = text.rpartition(":")
+    return Address(host=host, port=int(port))
+
+
+class NodeConnection:
+    """A connection that opens on first use and reopens after a failure.
+
+    Parameters
+    ----------
+    address : str
+        `host:port` of the other node.
+    connect_seconds : float
+        Timeout of opening the connection.
+    """
+
+    def __init__(self, *, address: str, connect_seconds: float = 1.0) -> None:
+        self.address = address
+        self._connect_seconds = connect_seconds
+        self._socket: TSocket | None = None
+        self._client: TClient | None = None
+
+    def call(self, name: str, *args: Any, timeout_seconds: float) -> Any:
+        """Call `name` of the other node and return its answer.
+
+        Raises
+        ------
+        NotDeliveredError
+            The connection could not be opened; the call was not sent.
+        UnknownDeliveryError
+            The call was sent and failed; it may have taken effect.
+
+        """
+        client = self._open()
+        self._socket.set_timeout(int(timeout_seconds * 1000))
+        try:
+            return getattr(client, name)(*args)
+        except Exception as exc:
+            self.close()
+            raise UnknownDeliveryError(f"{name} at {self.address}: {exc!r}") from exc
+
+    def close(self) -> None:
+        """Close the connection; the next call opens a new one."""
+        client, self._client, self._socket = self._client, None, None
+        if client is not None:
+            client.close()
+
+    def _open(self) -> TClient:
+        if self._client is not None:
+            return self._client
+        address = parse_address(self.address)
+        sock = TSocket(
+            address.host,
+            address.port,
+            socket_timeout=int(self._connect_seconds * 1000),
+            connect_timeout=int(self._connect_seconds * 1000),
+        )
+        transport = TCyFramedTransportFactory().get_transport(sock)
+        protocol = TCyBinaryProtocolFactory().get_protocol(transport)
+        try:
+            transport.open()
+        except Exception as exc:
+            raise NotDeliveredError(f"connect {self.address}: {exc!r}") from exc
+        sock.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._socket = sock
+        self._client = TClient(AgentService, protocol)
+        return self._client
--- /dev/null
+++ b/packages/core/eelgrassdale/wire/server.py
@@ -0,0 +1,125 @@
+"""Thrift server with one bounded thread per connection."""
+
+import contextlib
+import socket
+import threading
+from typing import Any
+
+import structlog
+from thriftpy2.protocol import TCyBinaryProtocolFactory
+from thriftpy2.thrift import TProcessor
+from thriftpy2.transport import TCyFramedTransportFactory, TSocket
+
+from eelgrassdale.wire.client import parse_address
+
+ACCEPT_TIMEOUT_SECONDS = 0.2
+LISTEN_BACKLOG = 512
+
+log = structlog.get_logger(__name__)
+
+
+class NodeServer:
+    """Serves `handler` for a Thrift service until it is stopped.
+
+    Parameters
+    ----------
+    service : type
+        `NodeService` or `AgentService`.
+    handler : object
+        Has one method for each function of the service.
+    address : str
+        `host:port` to bind.
+    max_connections : int
+        Further connections are closed at once.
+    """
+
+    def __init__(
+        self, *, service: Any, handler: object, address: str, max_connections: int = 512
+    ) -> None:
+        self._processor = TProcessor(service, handler)
+        self._address = parse_address(address)
+        self._max_connections = max_connections
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._open: set[socket.socket] = set()
+        self._listener: socket.socket | None = None
+        self._thread: threading.Thread | None = None
+
+    def start(self) -> None:
+        """Bind the address and accept connections in a thread.
+
+        Raises
+        ------
+        OSError
+            The address cannot be bound.
+
+        """
+        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((self._address.host, self._address.port))
+        listener.listen(LISTEN_BACKLOG)
+        listener.settimeout(ACCEPT_TIMEOUT_SECONDS)
+        self._listener = listener
+        self._thread = threading.Thread(
+            target=self._accept_loop, name="node-server", daemon=True
+        )
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        self._stopping.set()
+        if self._thread is not None:
+            self._thread.join()
+        with self._lock:
+            open_now = list(self._open)
+        for conn in open_now:
+            with contextlib.suppress(OSError):
+                conn.shutdown(socket.SHUT_RDWR)
+
+    def _accept_loop(self) -> None:
+        while not self._stopping.is_set():
+            try:
+                conn, _ = self._listener.accept()
+            except TimeoutError:
+                continue
+            except OSError as exc:
+                log.warning("accept failed", error=repr(exc))
+                continue
+            self._admit(conn)
+        self._listener.close()
+
+    def _admit(self, conn: socket.socket) -> None:
+        with self._lock:
+            full = len(self._open) >= self._max_connections
+            if not full:
+                self._open.add(conn)
+        if full:
+            log.warning("connection limit reached", limit=self._max_connections)
+            conn.close()
+            return
+        threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn: socket.socket) -> None:
+        conn.settimeout(None)
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock = TSocket()
+        sock.set_handle(conn)
+        transport = TCyFramedTransportFactory().get_transport(sock)
+        protocol = TCyBinaryProtocolFactory().get_protocol(transport)
+        try:
+            while not self._stopping.is_set():
+                self._processor.process(protocol, protocol)
+        except EOFError:
+            pass
+        except Exception as exc:
+            if not _is_disconnect(exc):
+                log.error("call failed", error=repr(exc), exc_info=True)
+        finally:
+            with self._lock:
+                self._open.discard(conn)
+            with contextlib.suppress(OSError):
+                conn.close()
+
+
+def _is_disconnect(exc: Exception) -> bool:
+    return isinstance(exc, OSError) or type(exc).__name__ == "TTransportException"
--- /dev/null
+++ b/packages/entry/eelgrassdale_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry node and operators' command line."""
--- /dev/null
+++ b/packages/entry/eelgrassdale_entry/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Subcommands of `eelgrassdale`, one module each."""
--- /dev/null
+++ b/packages/measures/eelgrassdale_measures/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and their baselines."""
--- /dev/null
+++ b/packages/operators/eelgrassdale_operators/__init__.py
@@ -0,0 +1,1 @@
+"""Library with which operators write, check and apply a configuration."""
--- /dev/null
+++ b/packages/standins/eelgrassdale_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform and of backend servers."""
