Add the operators' library and config check and print

Cause: operators describe a deployment in Python and need every problem of a file named before anything is applied. Change: build_configuration, load_configuration for Python and printed files, `eelgrassdale config check|print`, an example configuration.

--- a/Makefile
+++ b/Makefile
@@ -17,12 +17,12 @@
 	touch $(STAMP)
 
 format: $(STAMP)
-	$(BIN)/ruff format packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages examples
+	$(BIN)/ruff check --fix packages examples
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
+	$(BIN)/ruff format --check packages examples
+	$(BIN)/ruff check packages examples
 
 test: lint
 	$(BIN)/pytest
--- a/packages/entry/eelgrassdale_entry/cli.py
+++ b/packages/entry/eelgrassdale_entry/cli.py
@@ -3,6 +3,7 @@
 import click
 
 from eelgrassdale import __version__
+from eelgrassdale_entry.commands.config import config
 
 
 @click.group()
@@ -11,5 +12,8 @@
     """Run an entry node or operate a deployment of eelgrassdale."""
 
 
+main.add_command(config)
+
+
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/packages/operators/eelgrassdale_operators/building.py
@@ -0,0 +1,49 @@
+"""Builds a checked configuration from objects."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+from expression import Error, Ok, Result
+
+from eelgrassdale.catalog import (
+    CatalogObject,
+    Configuration,
+    check,
+    configuration_from,
+    kind_of,
+)
+from eelgrassdale.results import Problem, ResultCode, ResultError
+
+
+def build_configuration(
+    objects: Iterable[CatalogObject],
+) -> Result[Configuration, ResultError]:
+    """Return the configuration of the objects, or every problem found in them.
+
+    Examples
+    --------
+    >>> from eelgrassdale_operators import DataCentre
+    >>> xela = DataCentre(name="xela", region="occidente")
+    >>> build_configuration([xela]).is_ok()
+    True
+    >>> [str(problem) for problem in build_configuration([xela, xela]).error.problems]
+    ["data-centres/xela: got 'defined 2 times', allowed: once"]
+
+    """
+    listed = list(objects)
+    configuration = configuration_from(0, listed)
+    problems = (*_duplicates(listed), *check(configuration))
+    if problems:
+        return Error(
+            ResultError(code=ResultCode.CONFIGURATION_INVALID, problems=problems)
+        )
+    return Ok(configuration)
+
+
+def _duplicates(objects: list[CatalogObject]) -> list[Problem]:
+    counts = Counter(f"{kind_of(obj)}/{obj.name}" for obj in objects)
+    return [
+        Problem(field=name, value=f"defined {count} times", allowed="once")
+        for name, count in sorted(counts.items())
+        if count > 1
+    ]
