--- /dev/null
+++ b/packages/standins/eelgrassdale_standins/control.py
@@ -0,0 +1,57 @@
+"""HTTP calls of a deployment to its stand-ins and to the callers' ports."""
+
+import json
+from typing import Any
+
+import urllib3
+
+_TIMEOUT = urllib3.Timeout(connect=2.0, read=10.0)
+_pool = urllib3.PoolManager(maxsize=32, num_pools=256, retries=False, timeout=_TIMEOUT)
+
+
+def url_of(address: str, path: str = "") -> str:
+    """Return the URL of a path at `host:port`.
+
+    Examples
+    --------
+    >>> url_of("127.0.0.1:80", "/health")
+    'http://127.0.0.1:80/health'
+
+    """
+    return f"http://{address}{path}"
+
+
+def is_healthy(address: str, path: str = "/health") -> bool:
+    """Return whether a server answers its health call with 200."""
+    try:
+        return _pool.request("GET", url_of(address, path)).status == 200
+    except urllib3.exceptions.HTTPError:
+        return False
+
+
+def get_json(address: str, path: str) -> Any:
+    """Return the JSON body of a successful GET."""
+    return _call("GET", address, path, None)
+
+
+def put_json(address: str, path: str, value: object) -> Any:
+    """PUT a JSON value and return the JSON answer."""
+    return _call("PUT", address, path, value)
+
+
+def set_faults(address: str, **faults: object) -> Any:
+    """Change faults of a stand-in and return all of them."""
+    return _call("POST", address, "/faults", faults)
+
+
+def counts_of(address: str) -> dict[str, Any]:
+    """Return the counters of a stand-in."""
+    return get_json(address, "/counts")
+
+
+def _call(method: str, address: str, path: str, value: object) -> Any:
+    body = None if value is None else json.dumps(value).encode()
+    answer = _pool.request(method, url_of(address, path), body=body)
+    if answer.status != 200:
+        raise RuntimeError(f"{method} {path}: {answer.status} {answer.data[:500]!r}")
+    return json.loads(answer.data)
--- /dev/null
+++ b/packages/standins/eelgrassdale_standins/engine.py
@@ -0,0 +1,365 @@
+"""Stand-in of a model engine: HTTP calls and the task that makes the tokens."""
+
+import json
+import threading
+import time
+from collections.abc import Iterator
+from datetime import UTC, datetime
+
+import attrs
+import cherrypy
+import click
+
+from eelgrassdale.identity import new_incarnation
+from eelgrassdale_standins.batching import Batch, Stream
+from eelgrassdale_standins.serving import (
+    StandIn,
+    close_connection,
+    current_connection,
+    drop_connection,
+    json_answer,
+    read_body,
+    run,
+)
+from eelgrassdale_standins.staging import Loaded, LoadOrder, Staging
+
+IDLE_STEP_SECONDS = 0.02
+COLD_SLOWDOWN = 2.0  # a cold engine takes this many times as long per token
+
+
+@attrs.frozen(kw_only=True)
+class EngineSettings:
+    """Speed, memory and cold start of an engine."""
+
+    token_seconds: float
+    stream_seconds: float
+    max_running: int
+    memory_bytes: int
+    token_bytes: int
+    cold_seconds: float
+    cold_requests: int
+    restart_seconds: float
+    load_seconds: float
+    report_seconds: float
+    prefill_steps: int
+    cache_prefixes: int
+
+
+@attrs.frozen(kw_only=True)
+class Faults:
+    """Faults of an engine.
+
+    `restart` crashes it once, `restart_empty` also empties its staging memory
+    and weights. `slowdown` multiplies the time between tokens. `hang` stops
+    the tokens.
+    """
+
+    outage: bool = False
+    restart: bool = False
+    restart_empty: bool = False
+    slowdown: float = 1.0
+    hang: bool = False
+    fail_loads: int = 0
+
+
+class Engine(StandIn):
+    """CherryPy root of an engine."""
+
+    def __init__(self, *, cfg: EngineSettings, staging: Staging) -> None:
+        super().__init__(Faults())
+        self._cfg = cfg
+        self._staging = staging
+        self._loaded = Loaded()
+        self._batch = Batch(
+            max_running=cfg.max_running,
+            prefill_steps=cfg.prefill_steps,
+            cache_capacity=cfg.cache_prefixes,
+        )
+        self._changed = threading.Condition()
+        self._incarnation = new_incarnation(started_at=datetime.now(UTC))
+        self._down_until = 0.0
+        self._cold_until = 0.0
+        self._sequence = 0
+        self._report: dict[str, object] = {}
+        self._reported_at = float("-inf")
+        self._most_held = 0
+
+    def preload(self, loaded: Loaded) -> None:
+        """Take weights as loaded without staging, for tests without transfers."""
+        self._loaded = loaded
+
+    def start(self) -> None:
+        """Start the task that makes tokens."""
+        threading.Thread(target=self._make_tokens, daemon=True).start()
+
+    @cherrypy.expose
+    def generate(self) -> bytes | Iterator[bytes]:
+        """Stream the tokens of one prompt."""
+        wanted = json.loads(read_body())
+        if self._is_down():
+            return drop_connection()
+        with self._changed:
+            loaded, incarnation = self._loaded, self._incarnation
+            if not loaded.weights:
+                return json_answer({"error": "no weights loaded"}, 503)
+            if wanted.get("model_version") not in (None, "", loaded.model_version):
+                return json_answer({"error": "other model version"}, 409)
+            stream = Stream(
+                request_id=wanted["request_id"],
+                prompt=wanted["prompt"],
+                max_tokens=wanted["max_tokens"],
+                priority=wanted.get("priority", 1),
+                resume_from=wanted.get("resume_from", 0),
+            )
+            self._batch.add(stream)
+            self._crash_if_overfilled()
+            self._changed.notify_all()
+        self.count("requests")
+        out = cherrypy.response
+        out.stream = True
+        out.headers["Content-Type"] = "application/jsonl"
+        out.headers["X-Engine-Incarnation"] = str(incarnation)
+        out.headers["X-Model-Version"] = loaded.model_version
+        return self._lines(stream, current_connection())
+
+    @cherrypy.expose
+    def cancel(self) -> bytes:
+        """Cancel the streams of a request."""
+        if self._is_down():
+            return drop_connection()
+        wanted = json.loads(read_body())
+        with self._changed:
+            found = self._batch.cancel(wanted["request_id"])
+            self._changed.notify_all()
+        self.count("cancelled", found)
+        return json_answer({"cancelled": found})
+
+    @cherrypy.expose
+    def load(self) -> bytes:
+        """Return the load report, which lags."""
+        if self._is_down():
+            return drop_connection()
+        now = time.monotonic()
+        with self._changed:
+            if now - self._reported_at >= self._cfg.report_seconds:
+                self._sequence += 1
+                self._report = self._new_report(now)
+                self._reported_at = now
+            return json_answer(self._report)
+
+    @cherrypy.expose
+    def weights(self, manifest: str, index: str = "") -> bytes:
+        """Stage a chunk by PUT, return a staged chunk or the staged indices."""
+        if self._is_down():
+            return drop_connection()
+        if cherrypy.request.method == "PUT":
+            data = read_body()
+            with self._changed:
+                self._staging.put(manifest, int(index), data)
+            self.count("staged_bytes", len(data))
+            return json_answer({"staged": int(index)})
+        with self._changed:
+            if not index:
+                return json_answer({"chunks": self._staging.indices(manifest)})
+            data = self._staging.get(manifest, int(index))
+        if data is None:
+            return json_answer({"error": "not staged"}, 404)
+        cherrypy.response.headers["Content-Type"] = "application/octet-stream"
+        return data
+
+    @cherrypy.expose
+    def orders(self) -> bytes:
+        """Carry out an order to load staged weights."""
+        if self._is_down():
+            return drop_connection()
+        wanted = json.loads(read_body())
+        order = LoadOrder(
+            model_version=wanted["model_version"],
+            manifest=wanted["manifest"],
+            fencing=wanted.get("fencing", 0),
+        )
+        with self._changed:
+            if self._staging.is_stale(order):
+                self.count("orders_fenced")
+                return json_answer({"error": "stale fencing token"}, 409)
+        if self.use_up("fail_loads"):
+            return json_answer({"error": "load failed"}, 500)
+        time.sleep(self._cfg.load_seconds)
+        with self._changed:
+            loaded = self._staging.loaded_by(order)
+            if loaded is None:
+                return json_answer({"error": "nothing staged"}, 400)
+            self._loaded = loaded
+            self._cold_until = time.monotonic() + self._cfg.cold_seconds
+        self.count("loads")
+        return json_answer({"model_version": loaded.model_version})
+
+    def faults_changed(self) -> None:
+        """Crash when a restart is asked for."""
+        faults = self.current_faults
+        if not (faults.restart or faults.restart_empty):
+            return
+        self._faults = attrs.evolve(faults, restart=False, restart_empty=False)
+        with self._changed:
+            self._crash("restarts")
+            if faults.restart_empty:
+                self._staging.clear()
+                self._loaded = Loaded()
+
+    def all_counts(self) -> dict[str, object]:
+        """Return the counters and the state that tests check."""
+        with self._changed:
+            state = {
+                "incarnation": self._incarnation,
+                "prefix_hits": self._batch.prefix_hits,
+                "most_held": self._most_held,
+                "running": len(self._batch.running),
+                "waiting": len(self._batch.waiting),
+                **{f"loaded_{k}": v for k, v in attrs.asdict(self._loaded).items()},
+            }
+        return {"crashes": 0, **super().all_counts(), **state}
+
+    def _is_down(self) -> bool:
+        return self.current_faults.outage or time.monotonic() < self._down_until
+
+    def _new_report(self, now: float) -> dict[str, object]:
+        return {
+            "incarnation": self._incarnation,
+            "model_version": self._loaded.model_version,
+            "manifest": self._loaded.manifest,
+            "running": len(self._batch.running),
+            "waiting": len(self._batch.waiting),
+            "memory_used": self._batch.tokens_held * self._cfg.token_bytes,
+            "memory_limit": self._cfg.memory_bytes,
+            "cold": now < self._cold_until,
+            "sequence": self._sequence,
+        }
+
+    def _crash_if_overfilled(self) -> None:
+        batch, cfg = self._batch, self._cfg
+        held = len(batch.running) + len(batch.waiting)
+        self._most_held = max(self._most_held, held)
+        if time.monotonic() < self._cold_until and held > cfg.cold_requests:
+            self._crash("crashes")
+            self.count("crashes_cold")
+        elif batch.tokens_held * cfg.token_bytes > cfg.memory_bytes:
+            self._crash("crashes")
+            self.count("crashes_memory")
+
+    def _crash(self, counter: str) -> None:
+        now = time.monotonic()
+        self.count(counter)
+        self._batch.lose_all()
+        self._incarnation = new_incarnation(started_at=datetime.now(UTC))
+        self._sequence = 0
+        self._reported_at = float("-inf")
+        self._down_until = now + self._cfg.restart_seconds
+        self._cold_until = self._down_until + self._cfg.cold_seconds
+        self._changed.notify_all()
+
+    def _make_tokens(self) -> None:
+        while True:
+            time.sleep(self._step_seconds())
+            if self.current_faults.hang:
+                continue
+            with self._changed:
+                made = self._batch.step(weights=self._loaded.weights)
+                self._crash_if_overfilled()
+                self._changed.notify_all()
+            self.count("tokens", made)
+
+    def _step_seconds(self) -> float:
+        with self._changed:
+            if not self._batch.running and not self._batch.waiting:
+                self._changed.wait(IDLE_STEP_SECONDS)
+            running = max(1, len(self._batch.running))
+        seconds = self._cfg.token_seconds + running * self._cfg.stream_seconds
+        if time.monotonic() < self._cold_until:
+            seconds *= COLD_SLOWDOWN
+        return seconds * self.current_faults.slowdown
+
+    def _lines(self, stream: Stream, conn: object) -> Iterator[bytes]:
+        sent = 0
+        try:
+            while not (stream.is_complete and sent == len(stream.tokens)):
+                fresh = self._await_tokens(stream, sent)
+                if stream.is_cancelled or stream.is_lost:
+                    close_connection(conn)
+                    return
+                first = stream.resume_from + sent
+                sent += len(fresh)
+                yield lines_of(fresh, first)
+            self.count("completed")
+            total = stream.resume_from + sent
+            yield json.dumps({"end": True, "tokens": total}).encode() + b"\n"
+        finally:
+            with self._changed:
+                self._batch.drop(stream)
+
+    def _await_tokens(self, stream: Stream, sent: int) -> list[str]:
+        with self._changed:
+            self._changed.wait_for(
+                lambda: stream.has_ended or len(stream.tokens) > sent
+            )
+            return stream.tokens[sent:]
+
+
+def lines_of(tokens: list[str], first: int) -> bytes:
+    """Return one JSON line for each token, with its index.
+
+    Examples
+    --------
+    >>> lines_of(["lid "], 3)
+    b'{"i": 3, "t": "lid "}\\n'
+
+    """
+    return b"".join(
+        json.dumps({"i": first + offset, "t": text}).encode() + b"\n"
+        for offset, text in enumerate(tokens)
+    )
+
+
+@click.command()
+@click.option("--address", required=True)
+@click.option("--threads", default=320, show_default=True)
+@click.option("--token-ms", default=5.0, show_default=True)
+@click.option("--stream-ms", default=0.1, show_default=True, help="per running stream")
+@click.option("--max-running", default=32, show_default=True)
+@click.option("--memory-bytes", default=64 * 1024 * 1024, show_default=True)
+@click.option("--token-bytes", default=1024, show_default=True)
+@click.option("--cold-seconds", default=2.0, show_default=True)
+@click.option("--cold-requests", default=2, show_default=True)
+@click.option("--restart-seconds", default=0.5, show_default=True)
+@click.option("--load-seconds", default=0.2, show_default=True)
+@click.option("--report-seconds", default=0.2, show_default=True, help="report lag")
+@click.option("--prefill-steps", default=4, show_default=True)
+@click.option("--cache-prefixes", default=64, show_default=True)
+@click.option("--checks-fencing/--ignores-fencing", default=True, show_default=True)
+@click.option("--preload", default="", help="model_version:manifest:weights digest")
+def main(**options: object) -> None:
+    """Serve a model engine that makes deterministic tokens."""
+    root = Engine(
+        cfg=EngineSettings(
+            token_seconds=options["token_ms"] / 1000,
+            stream_seconds=options["stream_ms"] / 1000,
+            **{
+                field.name: options[field.name]
+                for field in attrs.fields(EngineSettings)
+                if field.name in options
+            },
+        ),
+        staging=Staging(checks_fencing=options["checks_fencing"]),
+    )
+    if options["preload"]:
+        version, manifest, weights = options["preload"].rsplit(":", 2)
+        root.preload(Loaded(model_version=version, manifest=manifest, weights=weights))
+    run(
+        root,
+        address=options["address"],
+        threads=options["threads"],
+        on_start=root.start,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/eelgrassdale_standins/tests/conftest.py
@@ -0,0 +1,41 @@
+"""Stand-in processes for the tests of this package."""
+
+import pytest
+
+from eelgrassdale_standins.control import is_healthy
+from eelgrassdale_standins.processes import (
+    Command,
+    Ports,
+    Process,
+    standin_arguments,
+    wait_until,
+)
+
+
+@pytest.fixture
+def ports():
+    """Reserve ports for one test."""
+    held = Ports()
+    yield held
+    held.close()
+
+
+@pytest.fixture
+def start_standin(ports, tmp_path):
+    """Return a function that starts a stand-in and returns its address."""
+    started = []
+
+    def start(module, *options):
+        address = ports.new_address()
+        command = Command(
+            name=module,
+            arguments=standin_arguments(module, address, *options),
+            log=tmp_path / f"{module}-{len(started)}.log",
+        )
+        started.append(Process(command))
+        wait_until(lambda: is_healthy(address), seconds=20, what=f"health of {module}")
+        return address
+
+    yield start
+    for process in started:
+        process.kill()
