--- /dev/null
+++ b/packages/core/eelgrassdale/membership/suspicion.py
@@ -0,0 +1,93 @@
+"""Decisions on the state of one member.
+
+A member is suspected after a refused connection or a call without an answer.
+It is declared dead only when an indirect probe through another entry node
+fails too. A member that answers is alive at once, unless the answer belongs
+to an earlier life of it.
+"""
+
+from attrs import evolve, frozen
+
+from eelgrassdale.membership.members import MemberState
+
+
+@frozen(kw_only=True)
+class Health:
+    """First-hand knowledge of one member.
+
+    `heard_at` and `failed_at` are monotonic seconds, None for never.
+    """
+
+    state: MemberState = MemberState.ALIVE
+    incarnation: int = 0
+    leaving: bool = False
+    heard_at: float | None = None
+    failed_at: float | None = None
+
+
+def after_answer(
+    health: Health, *, incarnation: int, leaving: bool, now: float
+) -> Health:
+    """Return the health after the member answered or sent a call.
+
+    Examples
+    --------
+    >>> old = Health(incarnation=7, state=MemberState.DEAD)
+    >>> after_answer(old, incarnation=6, leaving=False, now=1.0) == old
+    True
+    >>> after_answer(old, incarnation=8, leaving=False, now=1.0).state.value
+    'alive'
+
+    """
+    if incarnation < health.incarnation:
+        return health
+    return Health(
+        state=MemberState.ALIVE, incarnation=incarnation, leaving=leaving, heard_at=now
+    )
+
+
+def after_failure(health: Health, *, now: float) -> Health:
+    """Return the health after a refused connection or a silent second.
+
+    Examples
+    --------
+    >>> after_failure(Health(), now=1.0).state.value
+    'suspect'
+    >>> after_failure(Health(state=MemberState.DEAD), now=1.0).state.value
+    'dead'
+
+    """
+    if health.state is MemberState.ALIVE:
+        return evolve(health, state=MemberState.SUSPECT, failed_at=now)
+    return evolve(health, failed_at=now)
+
+
+def after_indirect_probe(
+    health: Health, *, incarnation: int, started_at: float
+) -> Health:
+    """Return the health of a suspect after a probe through another entry node.
+
+    `incarnation` is that of the answer, 0 without one. A member that answered
+    someone else stays suspect here, because this node cannot reach it. An
+    answer that arrived directly after `started_at` outweighs the probe.
+
+    Examples
+    --------
+    >>> suspect = after_failure(Health(), now=1.0)
+    >>> after_indirect_probe(suspect, incarnation=0, started_at=1.0).state.value
+    'dead'
+    >>> after_indirect_probe(suspect, incarnation=5, started_at=1.0).state.value
+    'suspect'
+
+    """
+    if health.state is MemberState.ALIVE:
+        return health
+    if health.heard_at is not None and health.heard_at > started_at:
+        return health
+    if incarnation > 0:
+        return evolve(
+            health,
+            state=MemberState.SUSPECT,
+            incarnation=max(incarnation, health.incarnation),
+        )
+    return evolve(health, state=MemberState.DEAD)
--- /dev/null
+++ b/packages/core/eelgrassdale/membership/table.py
@@ -0,0 +1,248 @@
+"""The members as one node knows them; owns their state.
+
+The VM list says which members exist. Answers, failures and indirect probes
+of this node decide on their state. Verdicts of other entry nodes arrive as
+hints that expire, so that a wrong or old verdict cannot persist.
+"""
+
+import threading
+from collections.abc import Callable, Iterable, Mapping
+
+import structlog
+from attrs import frozen
+
+from eelgrassdale.clock import Clock
+from eelgrassdale.membership.members import Member, Members, MemberState
+from eelgrassdale.membership.suspicion import (
+    Health,
+    after_answer,
+    after_failure,
+    after_indirect_probe,
+)
+from eelgrassdale.platform.vmlist import VmList, VmListEntry, parse_vm_list
+from eelgrassdale.telemetry import InvariantMonitor
+
+# A hint outlives a few comparisons (one every 2 s), so a member that several
+# entry nodes hold for dead does not flicker.
+HINT_SECONDS = 15.0
+# First-hand contact that outweighs a hint.
+FRESH_SECONDS = 3.0
+DEAD_DIGEST_LIMIT = 64
+
+log = structlog.get_logger(__name__)
+
+
+@frozen(kw_only=True)
+class DeadHint:
+    """Another node's verdict that one life of a member is over."""
+
+    incarnation: int
+    expires_at: float
+
+
+class MembersTable:
+    """Owns the members; safe to use from every thread.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    monitor : InvariantMonitor
+        Counts an incarnation that would decrease.
+    """
+
+    def __init__(self, *, clock: Clock, monitor: InvariantMonitor) -> None:
+        self._clock = clock
+        self._monitor = monitor
+        self._lock = threading.RLock()
+        self._vm_list = VmList(version=0, entries={}, body=b"")
+        self._health: dict[str, Health] = {}
+        self._hints: dict[str, DeadHint] = {}
+        self._members = Members()
+        self._callbacks: list[Callable[[Members], None]] = []
+
+    def current(self) -> Members:
+        """Return the latest snapshot."""
+        return self._members
+
+    def subscribe(self, callback: Callable[[Members], None]) -> None:
+        """Call `callback` with every later snapshot; it must not block."""
+        self._callbacks.append(callback)
+
+    def report(self, name: str, reachable: bool) -> None:
+        """Report that a data-path call reached a member, or failed to."""
+        if reachable:
+            self.heard(name, incarnation=self.health(name).incarnation)
+        else:
+            self.failed(name)
+
+    def vm_list(self) -> VmList:
+        """Return the VM list in force."""
+        return self._vm_list
+
+    def health(self, name: str) -> Health:
+        """Return the first-hand knowledge of a member."""
+        return self._health.get(name, Health())
+
+    def offer_vm_list(self, body: bytes) -> bool:
+        """Take a VM list of a higher version; return whether it was taken."""
+        parsed = parse_vm_list(body)
+        if parsed.is_error():
+            log.warning("VM list refused", error=parsed.error.message)
+            return False
+        with self._lock:
+            if parsed.ok.version <= self._vm_list.version:
+                return False
+            self._vm_list = parsed.ok
+            known = parsed.ok.entries
+            self._health = {n: h for n, h in self._health.items() if n in known}
+            self._hints = {n: h for n, h in self._hints.items() if n in known}
+            self._publish()
+        return True
+
+    def heard(self, name: str, *, incarnation: int, leaving: bool = False) -> None:
+        """Record that a member answered or called."""
+        with self._lock:
+            now = self._clock.monotonic()
+            before = self.health(name)
+            if incarnation >= before.incarnation:
+                self._hints.pop(name, None)
+            self._store(
+                name,
+                before,
+                after_answer(before, incarnation=incarnation, leaving=leaving, now=now),
+            )
+
+    def failed(self, name: str) -> None:
+        """Record that a member refused a connection or did not answer in time."""
+        with self._lock:
+            before = self.health(name)
+            self._store(
+                name, before, after_failure(before, now=self._clock.monotonic())
+            )
+
+    def probed_indirectly(
+        self, name: str, *, incarnation: int, started_at: float
+    ) -> None:
+        """Record the outcome of a probe through another entry node."""
+        with self._lock:
+            before = self.health(name)
+            after = after_indirect_probe(
+                before, incarnation=incarnation, started_at=started_at
+            )
+            self._store(name, before, after)
+
+    def suspects(self) -> tuple[str, ...]:
+        """Return the members to probe indirectly, by name."""
+        with self._lock:
+            return tuple(
+                sorted(
+                    name
+                    for name, health in self._health.items()
+                    if health.state is MemberState.SUSPECT
+                )
+            )
+
+    def dead_digest(self) -> list[str]:
+        """Return `name@incarnation` of the members this node found dead itself.
+
+        Hints of others are left out, so that two nodes cannot keep each
+        other's verdict alive.
+        """
+        with self._lock:
+            found = sorted(
+                f"{name}@{health.incarnation}"
+                for name, health in self._health.items()
+                if health.state is MemberState.DEAD
+            )
+        return found[:DEAD_DIGEST_LIMIT]
+
+    def take_dead_digest(self, digest: Iterable[str]) -> None:
+        """Take the verdicts of another entry node as hints."""
+        with self._lock:
+            now = self._clock.monotonic()
+            for text in list(digest)[:DEAD_DIGEST_LIMIT]:
+                name, _, incarnation = text.rpartition("@")
+                if name in self._vm_list.entries and incarnation.isdecimal():
+                    self._hints[name] = DeadHint(
+                        incarnation=int(incarnation), expires_at=now + HINT_SECONDS
+                    )
+            self._refresh()
+
+    def expire_hints(self) -> None:
+        """Drop the hints whose time is over."""
+        with self._lock:
+            now = self._clock.monotonic()
+            self._hints = {
+                name: hint
+                for name, hint in self._hints.items()
+                if hint.expires_at > now
+            }
+            self._refresh()
+
+    def _store(self, name: str, before: Health, after: Health) -> None:
+        if name not in self._vm_list.entries:
+            return
+        self._monitor.check(
+            after.incarnation >= before.incarnation,
+            "incarnation_grows",
+            member=name,
+            old=before.incarnation,
+            new=after.incarnation,
+        )
+        self._health[name] = after
+        if before.state is not after.state:
+            log.info("member state", member=name, state=after.state.value)
+        self._refresh()
+
+    def _refresh(self) -> None:
+        if self._resolve_all() != self._members.by_name:
+            self._publish()
+
+    def _publish(self) -> None:
+        self._members = Members(
+            version=self._members.version + 1, by_name=self._resolve_all()
+        )
+        # Called under the lock, so that callbacks see snapshots in order.
+        for callback in list(self._callbacks):
+            callback(self._members)
+
+    def _resolve_all(self) -> Mapping[str, Member]:
+        now = self._clock.monotonic()
+        return {
+            name: _resolve(entry, self.health(name), self._hints.get(name), now)
+            for name, entry in self._vm_list.entries.items()
+        }
+
+
+def _resolve(
+    entry: VmListEntry, health: Health, hint: DeadHint | None, now: float
+) -> Member:
+    return Member(
+        name=entry.name,
+        role=entry.role,
+        data_centre=entry.data_centre,
+        region=entry.region,
+        node_address=entry.node_address,
+        caller_address=entry.caller_address,
+        state=resolve_state(entry, health, hint, now),
+        incarnation=health.incarnation,
+    )
+
+
+def resolve_state(
+    entry: VmListEntry, health: Health, hint: DeadHint | None, now: float
+) -> MemberState:
+    """Return the state that follows from list, own contact and hints.
+
+    Own failures come first, then a hint that is not older than the known
+    incarnation and not outweighed by recent own contact, then leaving.
+    """
+    if health.state is not MemberState.ALIVE:
+        return health.state
+    is_fresh = health.heard_at is not None and now - health.heard_at < FRESH_SECONDS
+    if hint is not None and not is_fresh and hint.incarnation >= health.incarnation:
+        return MemberState.DEAD
+    if entry.leaving or health.leaving:
+        return MemberState.LEAVING
+    return MemberState.ALIVE
--- /dev/null
+++ b/packages/core/eelgrassdale/platform/vmlist.py
@@ -0,0 +1,111 @@
+"""The platform's list of VMs: a lagging hint of which nodes exist."""
+
+import json
+from collections.abc import Mapping
+
+import urllib3
+from attrs import frozen
+from expression import Error, Ok, Result
+
+from eelgrassdale.identity import Role
+from eelgrassdale.results import ResultCode, ResultError
+
+READ_TIMEOUT_SECONDS = 2.0
+MAX_BODY_BYTES = 4 * 1024 * 1024
+STATES = ("live", "leaving")
+
+
+@frozen(kw_only=True)
+class VmListEntry:
+    """One VM of the list."""
+
+    name: str
+    role: Role
+    data_centre: str
+    region: str
+    node_address: str
+    caller_address: str
+    leaving: bool
+
+
+@frozen(kw_only=True)
+class VmList:
+    """A version of the list; `body` is its JSON as it travels between nodes."""
+
+    version: int
+    entries: Mapping[str, VmListEntry]
+    body: bytes
+
+
+def parse_vm_list(body: bytes) -> Result[VmList, ResultError]:
+    """Return the VM list of a JSON body.
+
+    Examples
+    --------
+    >>> parse_vm_list(b'{"version": 3, "vms": []}').ok.version
+    3
+    >>> parse_vm_list(b"[]").is_error()
+    True
+
+    """
+    try:
+        document = json.loads(body)
+        entries = [_entry(fields) for fields in document["vms"]]
+        version = int(document["version"])
+    except (ValueError, KeyError, TypeError) as exc:
+        return Error(_unavailable(f"VM list cannot be read: {exc!r}"))
+    return Ok(
+        VmList(
+            version=version, entries={entry.name: entry for entry in entries}, body=body
+        )
+    )
+
+
+class VmListClient:
+    """HTTP client of the VM list; one call per `read`, never retried here.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the VM list.
+    """
+
+    def __init__(self, *, url: str) -> None:
+        self._url = f"{url.rstrip('/')}/vms"
+        self._pool = urllib3.PoolManager(
+            retries=False, timeout=urllib3.Timeout(total=READ_TIMEOUT_SECONDS)
+        )
+
+    def read(self) -> Result[VmList, ResultError]:
+        """Return the current list."""
+        try:
+            answer = self._pool.request("GET", self._url)
+        except urllib3.exceptions.HTTPError as exc:
+            return Error(_unavailable(f"VM list: {exc!r}"))
+        if answer.status != 200:
+            return Error(_unavailable(f"VM list: HTTP status {answer.status}"))
+        if len(answer.data) > MAX_BODY_BYTES:
+            return Error(_unavailable("VM list exceeds its size limit"))
+        return parse_vm_list(answer.data)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._pool.clear()
+
+
+def _entry(fields: Mapping[str, str]) -> VmListEntry:
+    if fields["state"] not in STATES:
+        raise ValueError(f"state {fields['state']!r}")
+    return VmListEntry(
+        name=fields["name"],
+        role=Role(fields["role"]),
+        data_centre=fields["data_centre"],
+        region=fields["region"],
+        node_address=fields["node_address"],
+        caller_address=fields.get("caller_address") or "",
+        leaving=fields["state"] == "leaving",
+    )
+
+
+def _unavailable(message: str) -> ResultError:
+    return ResultError(code=ResultCode.SOURCE_UNAVAILABLE, message=message)
--- /dev/null
+++ b/packages/core/eelgrassdale/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the top-level modules."""
