--- a/packages/core/eelgrassdale/platform/__init__.py
+++ b/packages/core/eelgrassdale/platform/__init__.py
@@ -1,1 +1,18 @@
 """HTTP clients of the platform: object API, VM list and weight sources."""
+
+from eelgrassdale.platform.objects import ObjectStore, ObjectValue
+from eelgrassdale.platform.vmlist import (
+    VmList,
+    VmListClient,
+    VmListEntry,
+    parse_vm_list,
+)
+
+__all__ = [
+    "ObjectStore",
+    "ObjectValue",
+    "VmList",
+    "VmListClient",
+    "VmListEntry",
+    "parse_vm_list",
+]
