Add the node runtime: watch, compare, push, VM list and probes

Both programs share these tasks. Watchers and pushers follow from rendezvous ranks among live entry nodes, comparison with a random entry node repairs lost pushes, probes and indirect probes decide on member states. The wire client and server count the bytes of control calls, and CompareAnswer carries a bounded list of dead members (new field 5).

--- a/packages/core/eelgrassdale/membership/suspicion.py
+++ b/packages/core/eelgrassdale/membership/suspicion.py
@@ -15,14 +15,14 @@
 class Health:
     """First-hand knowledge of one member.
 
-    `heard_at` and `failed_at` are monotonic seconds, None for never.
+    `heard_at` and `suspected_at` are monotonic seconds, None for never.
     """
 
     state: MemberState = MemberState.ALIVE
     incarnation: int = 0
     leaving: bool = False
     heard_at: float | None = None
-    failed_at: float | None = None
+    suspected_at: float | None = None
 
 
 def after_answer(
@@ -58,8 +58,8 @@
 
     """
     if health.state is MemberState.ALIVE:
-        return evolve(health, state=MemberState.SUSPECT, failed_at=now)
-    return evolve(health, failed_at=now)
+        return evolve(health, state=MemberState.SUSPECT, suspected_at=now)
+    return health
 
 
 def after_indirect_probe(
--- a/packages/core/eelgrassdale/membership/table.py
+++ b/packages/core/eelgrassdale/membership/table.py
@@ -143,6 +143,17 @@
                 )
             )
 
+    def unreachable(self) -> tuple[str, ...]:
+        """Return the members this node found suspect or dead itself, by name."""
+        with self._lock:
+            return tuple(
+                sorted(
+                    name
+                    for name, health in self._health.items()
+                    if health.state is not MemberState.ALIVE
+                )
+            )
+
     def dead_digest(self) -> list[str]:
         """Return `name@incarnation` of the members this node found dead itself.
 
--- /dev/null
+++ b/packages/core/eelgrassdale/node/calls.py
@@ -0,0 +1,106 @@
+"""Control calls to other nodes over a bounded pool of connections.
+
+All calls made here are idempotent, so a call that failed on a connection the
+other side had closed meanwhile is repeated on a new one.
+"""
+
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from expression import Error, Ok, Result
+
+from eelgrassdale.wire import NodeConnection, WireError
+
+IDLE_CONNECTION_LIMIT = 64
+CONNECT_SECONDS = 0.5
+# A failure before this part of the timeout is a broken connection, not silence.
+SILENCE_SHARE = 0.9
+
+
+class PeerCalls:
+    """Makes calls to other nodes; safe to use from every thread.
+
+    Parameters
+    ----------
+    on_bytes : Callable[[int], None]
+        Called with the bytes that each call moved.
+    """
+
+    def __init__(self, *, on_bytes: Callable[[int], None]) -> None:
+        self._on_bytes = on_bytes
+        self._lock = threading.Lock()
+        self._idle: OrderedDict[str, list[NodeConnection]] = OrderedDict()
+        self._closed = False
+
+    def call(
+        self, address: str, name: str, *args: Any, timeout_seconds: float
+    ) -> Result[Any, WireError]:
+        """Call `name` of the node at `address` and return its answer."""
+        conn = self._take(address)
+        reused = conn is not None
+        if conn is None:
+            conn = self._open(address)
+        started = time.monotonic()
+        outcome = self._call_once(conn, name, args, timeout_seconds)
+        elapsed = time.monotonic() - started
+        if outcome.is_error() and reused and elapsed < SILENCE_SHARE * timeout_seconds:
+            self._drop_idle(address)
+            outcome = self._call_once(self._open(address), name, args, timeout_seconds)
+        return outcome
+
+    def close(self) -> None:
+        """Close the idle connections; connections in use close after their call."""
+        with self._lock:
+            self._closed = True
+            idle = [conn for conns in self._idle.values() for conn in conns]
+            self._idle.clear()
+        for conn in idle:
+            conn.close()
+
+    def _call_once(
+        self, conn: NodeConnection, name: str, args: tuple, timeout_seconds: float
+    ) -> Result[Any, WireError]:
+        try:
+            answer = conn.call(name, *args, timeout_seconds=timeout_seconds)
+        except WireError as exc:
+            conn.close()
+            return Error(exc)
+        self._give_back(conn)
+        return Ok(answer)
+
+    def _open(self, address: str) -> NodeConnection:
+        return NodeConnection(
+            address=address, connect_seconds=CONNECT_SECONDS, on_bytes=self._on_bytes
+        )
+
+    def _take(self, address: str) -> NodeConnection | None:
+        with self._lock:
+            conns = self._idle.get(address)
+            if not conns:
+                return None
+            conn = conns.pop()
+            if not conns:
+                del self._idle[address]
+            return conn
+
+    def _give_back(self, conn: NodeConnection) -> None:
+        dropped: list[NodeConnection] = []
+        with self._lock:
+            if self._closed:
+                dropped.append(conn)
+            else:
+                self._idle.setdefault(conn.address, []).append(conn)
+                self._idle.move_to_end(conn.address)
+            while sum(map(len, self._idle.values())) > IDLE_CONNECTION_LIMIT:
+                dropped += self._idle.popitem(last=False)[1]
+        for old in dropped:
+            old.close()
+
+    def _drop_idle(self, address: str) -> None:
+        with self._lock:
+            conns = self._idle.pop(address, [])
+        for conn in conns:
+            conn.close()
--- /dev/null
+++ b/packages/core/eelgrassdale/node/links.py
@@ -0,0 +1,225 @@
+"""Calls to other members that also update what is known of them."""
+
+import random
+import threading
+from collections.abc import Callable
+
+from expression import Error, Ok, Result
+
+from eelgrassdale.membership.members import Member
+from eelgrassdale.membership.table import MembersTable
+from eelgrassdale.node.calls import PeerCalls
+from eelgrassdale.node.context import NodeContext
+from eelgrassdale.platform.vmlist import pack_vm_list, unpack_vm_list
+from eelgrassdale.wire import (
+    CompareAnswer,
+    CompareRequest,
+    ConfigDelta,
+    Envelope,
+    ProbeAnswer,
+    WireError,
+)
+
+CALL_SECONDS = 1.0
+# A receiver of an indirect probe needs a whole second for the suspect.
+INDIRECT_SECONDS = 2.0
+# The guessed base, the base that the receiver stated, then all objects.
+PUSH_ATTEMPTS = 3
+CONTROL_BYTES = "control_bytes"
+LEAVING = "leaving"
+
+
+class PeerLinks:
+    """Probe, compare and push calls of one node; safe to use from every thread.
+
+    It knows which generation and VM list version each member was last seen
+    with, so that pushes carry only what is missing.
+    """
+
+    def __init__(self, *, context: NodeContext) -> None:
+        self._context = context
+        self._table: MembersTable = context.members
+        self._calls = PeerCalls(on_bytes=self.count_bytes)
+        self._lock = threading.Lock()
+        self._generations: dict[str, int] = {}
+        self._vm_versions: dict[str, int] = {}
+        self._probe_callbacks: list[Callable[[Member, ProbeAnswer], None]] = []
+        self.rng = random.Random()
+
+    def count_bytes(self, amount: int) -> None:
+        """Count bytes that control messages moved."""
+        self._context.metrics.count(CONTROL_BYTES, amount)
+
+    def subscribe_probes(self, callback: Callable[[Member, ProbeAnswer], None]) -> None:
+        """Call `callback` with every answer to a probe of a member."""
+        self._probe_callbacks.append(callback)
+
+    def envelope(self, *, remaining_ms: int = 1000, traceparent: str = "") -> Envelope:
+        """Return the envelope of a call made now."""
+        identity = self._context.identity
+        return Envelope(
+            sender=identity.name,
+            incarnation=identity.incarnation,
+            remaining_ms=remaining_ms,
+            traceparent=traceparent,
+            generation=self._context.replica.current().generation,
+        )
+
+    def note_generation(self, name: str, generation: int) -> None:
+        """Remember the generation that a member has in force."""
+        with self._lock:
+            self._generations[name] = generation
+
+    def probe(self, member: Member) -> bool:
+        """Probe a member directly; return whether it answered."""
+        answer = self._calls.call(
+            member.node_address, "probe", self.envelope(), timeout_seconds=CALL_SECONDS
+        )
+        if answer.is_error():
+            self._table.failed(member.name)
+            return False
+        self._table.heard(
+            member.name,
+            incarnation=answer.ok.incarnation,
+            leaving=answer.ok.state == LEAVING,
+        )
+        self.note_generation(member.name, answer.ok.generation)
+        for callback in list(self._probe_callbacks):
+            callback(member, answer.ok)
+        return True
+
+    def probe_address(self, address: str) -> ProbeAnswer | None:
+        """Probe an address for another node; return its answer or None."""
+        answer = self._calls.call(
+            address, "probe", self.envelope(), timeout_seconds=CALL_SECONDS
+        )
+        return answer.ok if answer.is_ok() else None
+
+    def probe_through(self, helper: Member, suspect: Member) -> bool:
+        """Probe a suspect through another entry node and record the verdict.
+
+        Returns False when the helper did not answer, which says nothing about
+        the suspect.
+        """
+        started_at = self._context.clock.monotonic()
+        answer = self._calls.call(
+            helper.node_address,
+            "probe_via",
+            self.envelope(),
+            suspect.node_address,
+            timeout_seconds=INDIRECT_SECONDS,
+        )
+        if answer.is_error():
+            self._table.failed(helper.name)
+            return False
+        self._table.probed_indirectly(
+            suspect.name, incarnation=answer.ok.incarnation, started_at=started_at
+        )
+        return True
+
+    def compare(self, name: str, address: str) -> bool:
+        """Compare generations with a peer and take what it has more.
+
+        `name` is empty for a seed address. Returns whether the peer answered.
+        """
+        answer = self._compare_once(
+            name, address, self._context.replica.current().generation
+        )
+        if answer.is_error():
+            return False
+        replica = self._context.replica
+        if answer.ok.generation > replica.current().generation:
+            # The partial delta did not fit, for instance after skipped
+            # generations; ask for all objects.
+            self._compare_once(name, address, 0)
+        elif name and answer.ok.generation < replica.current().generation:
+            self.push(name, address)
+        return True
+
+    def push(self, name: str, address: str) -> bool:
+        """Send a member what it lacks; return whether it is up to date."""
+        base = self._generations.get(name)
+        if base is None:
+            base = max(0, self._context.replica.current().generation - 1)
+        for _ in range(PUSH_ATTEMPTS):
+            vm_version = self._vm_versions.get(name, 0)
+            delta = self.delta_for_peer(base, vm_version)
+            if delta is None:
+                return True
+            sent = self._send(name, address, delta)
+            if sent.is_error():
+                return False
+            if sent.ok >= delta.generation:
+                return True
+            base = sent.ok if sent.ok < base else 0
+        return False
+
+    def delta_for_peer(self, generation: int, vm_version: int) -> ConfigDelta | None:
+        """Return what a peer lacks that states its generation and VM list version."""
+        delta = self._context.replica.delta_since(generation)
+        vm_list = self._table.vm_list()
+        if vm_list.version <= vm_version:
+            return delta
+        if delta is None:
+            # Nothing but the VM list; a delta to the generation that the
+            # peer has already changes no object.
+            delta = ConfigDelta(
+                base=generation,
+                generation=generation,
+                head_digest="",
+                changed=[],
+                removed=[],
+            )
+        delta.members_version = vm_list.version
+        delta.members = pack_vm_list(vm_list)
+        return delta
+
+    def take(self, delta: ConfigDelta | None) -> bool:
+        """Take objects and VM list of a delta; return whether objects changed."""
+        if delta is None:
+            return False
+        if delta.members:
+            self._table.offer_vm_list(unpack_vm_list(delta.members))
+        return self._context.replica.offer(delta)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._calls.close()
+
+    def _send(
+        self, name: str, address: str, delta: ConfigDelta
+    ) -> Result[int, WireError]:
+        sent = self._calls.call(
+            address, "push", self.envelope(), delta, timeout_seconds=CALL_SECONDS
+        )
+        if sent.is_error():
+            self._table.failed(name)
+            return Error(sent.error)
+        self.note_generation(name, sent.ok)
+        if delta.members:
+            with self._lock:
+                self._vm_versions[name] = delta.members_version
+        return Ok(sent.ok)
+
+    def _compare_once(
+        self, name: str, address: str, generation: int
+    ) -> Result[CompareAnswer, WireError]:
+        state = self._context.replica.state()
+        request = CompareRequest(
+            generation=generation,
+            head_digest=state.head_digest if generation == state.generation else "",
+            members_version=self._table.vm_list().version,
+        )
+        answer = self._calls.call(
+            address, "compare", self.envelope(), request, timeout_seconds=CALL_SECONDS
+        )
+        if answer.is_error():
+            if name:
+                self._table.failed(name)
+            return Error(answer.error)
+        if name:
+            self._table.heard(name, incarnation=answer.ok.incarnation)
+            self.note_generation(name, answer.ok.generation)
+        self.take(answer.ok.delta)
+        self._table.take_dead_digest(answer.ok.dead or [])
+        return Ok(answer.ok)
--- /dev/null
+++ b/packages/core/eelgrassdale/node/tasks.py
@@ -0,0 +1,136 @@
+"""The periodic tasks of a node; each function is one step of a loop.
+
+A step returns the seconds until the next one.
+"""
+
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
+import structlog
+
+from eelgrassdale.identity import Role
+from eelgrassdale.membership.table import MembersTable
+from eelgrassdale.node.context import NodeContext
+from eelgrassdale.node.links import PeerLinks
+from eelgrassdale.platform.budget import backoff_seconds
+from eelgrassdale.platform.objects import ObjectStore, ObjectValue
+from eelgrassdale.platform.vmlist import VmListClient
+from eelgrassdale.spread.head import HEAD_NAME, fetch_delta, head_read_of
+from eelgrassdale.spread.watchers import is_watcher, push_targets
+
+WATCH_SECONDS = 20.0
+RANK_CHECK_SECONDS = 0.5
+VM_LIST_SECONDS = 2.0
+JITTER = (0.75, 1.25)
+
+log = structlog.get_logger(__name__)
+
+
+class WatchTask:
+    """Watches `head` while this entry node is a watcher of its data centre."""
+
+    def __init__(
+        self, *, context: NodeContext, links: PeerLinks, store: ObjectStore
+    ) -> None:
+        self._context = context
+        self._links = links
+        self._store = store
+        self._version = 0
+        self._failures = 0
+
+    def step(self) -> float:
+        """Wait for a change of `head` and take it."""
+        context = self._context
+        if not is_watcher(context.members.current(), context.identity):
+            return RANK_CHECK_SECONDS
+        started_at = context.clock.monotonic()
+        watched = self._store.watch(
+            HEAD_NAME, version=self._version, timeout_seconds=WATCH_SECONDS
+        )
+        taken = watched.bind(lambda value: take_head(context, self._store, value))
+        if taken.is_error():
+            self._failures += 1
+            log.warning("watch failed", error=taken.error.message)
+            return backoff_seconds(self._failures, self._links.rng)
+        self._failures = 0
+        if watched.ok is not None:
+            self._version = watched.ok.version
+        # A store that answers a watch of a missing object at once must not
+        # make this loop spin.
+        elapsed = context.clock.monotonic() - started_at
+        is_early = watched.ok is None and elapsed < RANK_CHECK_SECONDS
+        return RANK_CHECK_SECONDS if is_early else 0.0
+
+
+def take_head(context: NodeContext, store: ObjectStore, value: ObjectValue | None):
+    """Take the head that was read if its generation is higher; return a Result."""
+    return head_read_of(value).bind(
+        lambda read: _take_generation(context, store, read.head)
+    )
+
+
+def _take_generation(context: NodeContext, store: ObjectStore, head):
+    state = context.replica.state()
+    if head.generation < state.generation:
+        log.warning(
+            "head of a lower generation ignored",
+            theirs=head.generation,
+            ours=state.generation,
+        )
+    return fetch_delta(store, head, state).map(context.replica.offer)
+
+
+class VmListTask:
+    """Reads the VM list at watchers, and at any node that has none yet."""
+
+    def __init__(
+        self, *, context: NodeContext, links: PeerLinks, client: VmListClient
+    ) -> None:
+        self._context = context
+        self._links = links
+        self._client = client
+        self._failures = 0
+
+    def step(self) -> float:
+        """Read the VM list once if it is this node's turn."""
+        table: MembersTable = self._context.members
+        reads = (
+            self._context.identity.role is Role.ENTRY
+            and is_watcher(table.current(), self._context.identity)
+        ) or not table.vm_list().version
+        if not reads:
+            return RANK_CHECK_SECONDS
+        read = self._client.read()
+        if read.is_error():
+            self._failures += 1
+            log.warning("VM list not read", error=read.error.message)
+            return backoff_seconds(self._failures, self._links.rng)
+        self._failures = 0
+        table.offer_vm_list(read.ok.body)
+        return VM_LIST_SECONDS * self._links.rng.uniform(*JITTER)
+
+
+class PushTask:
+    """Sends new generations and VM lists to the members assigned to this node."""
+
+    def __init__(
+        self, *, context: NodeContext, links: PeerLinks, pool: ThreadPoolExecutor
+    ) -> None:
+        self._context = context
+        self._links = links
+        self._pool = pool
+        self._dirty = threading.Event()
+
+    def mark(self, *_: object) -> None:
+        """Note that there is something to push."""
+        self._dirty.set()
+
+    def step(self) -> float:
+        """Push once to every target after a change."""
+        if not self._dirty.wait(RANK_CHECK_SECONDS):
+            return 0.0
+        self._dirty.clear()
+        targets = push_targets(self._context.members.current(), self._context.identity)
+        for member in targets:
+            self._pool.submit(self._links.push, member.name, member.node_address)
+        return 0.0
--- a/packages/core/eelgrassdale/platform/__init__.py
+++ b/packages/core/eelgrassdale/platform/__init__.py
@@ -5,7 +5,9 @@
     VmList,
     VmListClient,
     VmListEntry,
+    pack_vm_list,
     parse_vm_list,
+    unpack_vm_list,
 )
 
 __all__ = [
@@ -14,5 +16,7 @@
     "VmList",
     "VmListClient",
     "VmListEntry",
+    "pack_vm_list",
     "parse_vm_list",
+    "unpack_vm_list",
 ]
--- a/packages/core/eelgrassdale/platform/vmlist.py
+++ b/packages/core/eelgrassdale/platform/vmlist.py
@@ -1,6 +1,7 @@
 """The platform's list of VMs: a lagging hint of which nodes exist."""
 
 import json
+import zlib
 from collections.abc import Mapping
 
 import urllib3
@@ -61,6 +62,29 @@
     )
 
 
+def pack_vm_list(vm_list: VmList) -> bytes:
+    """Return the form of a VM list that travels between nodes."""
+    return zlib.compress(vm_list.body)
+
+
+def unpack_vm_list(packed: bytes) -> bytes:
+    """Return the JSON body of a packed VM list, empty if it cannot be unpacked.
+
+    Examples
+    --------
+    >>> body = b'{"version": 3, "vms": []}'
+    >>> unpack_vm_list(pack_vm_list(parse_vm_list(body).ok)) == body
+    True
+    >>> unpack_vm_list(b"no")
+    b''
+
+    """
+    try:
+        return zlib.decompressobj().decompress(packed, MAX_BODY_BYTES)
+    except zlib.error:
+        return b""
+
+
 class VmListClient:
     """HTTP client of the VM list; one call per `read`, never retried here.
 
--- /dev/null
+++ b/packages/core/eelgrassdale/spread/watchers.py
@@ -0,0 +1,146 @@
+"""Who watches the store, who pushes to whom, who compares with whom.
+
+All decisions are rendezvous ranks among the members that are alive, so nodes
+with the same view agree without an election. Nodes with different views may
+both act, which costs a few messages and is otherwise harmless.
+"""
+
+import random
+from collections.abc import Sequence
+
+from eelgrassdale.hashing import rendezvous_order
+from eelgrassdale.identity import Identity, Role
+from eelgrassdale.membership.members import Member, Members, MemberState
+
+WATCHERS_PER_DATA_CENTRE = 2
+PUSHERS_PER_AGENT = 2
+# One comparison in this many goes to another data centre.
+REMOTE_COMPARE_ONE_IN = 10
+
+
+def watch_order(members: Members, data_centre: str) -> list[str]:
+    """Return the live entry nodes of a data centre, first watcher first."""
+    return rendezvous_order(
+        topic=f"watch/{data_centre}",
+        members=[member.name for member in members.live_entry_nodes(data_centre)],
+    )
+
+
+def is_watcher(members: Members, me: Identity) -> bool:
+    """Return whether an entry node watches the store for its data centre.
+
+    A node counts itself as alive whatever the list says, so a data centre
+    whose list is missing or late still has a watcher.
+    """
+    names = {member.name for member in members.live_entry_nodes(me.data_centre)}
+    order = rendezvous_order(topic=f"watch/{me.data_centre}", members=names | {me.name})
+    return me.name in order[:WATCHERS_PER_DATA_CENTRE]
+
+
+def push_targets(members: Members, me: Identity) -> tuple[Member, ...]:
+    """Return the members that an entry node sends a new generation to.
+
+    A watcher sends it to the entry nodes of its data centre. Every entry node
+    sends it to the agents for which it ranks among the first two.
+    """
+    entry_nodes: tuple[Member, ...] = ()
+    if is_watcher(members, me):
+        entry_nodes = tuple(
+            member
+            for member in _reachable(members, Role.ENTRY)
+            if member.data_centre == me.data_centre and member.name != me.name
+        )
+    agents = tuple(
+        member
+        for member in _reachable(members, Role.BACKEND)
+        if me.name in pushers_of(members, member)
+    )
+    return entry_nodes + agents
+
+
+def pushers_of(members: Members, agent: Member) -> list[str]:
+    """Return the entry nodes that push to an agent, those of its data centre first.
+
+    Without a live entry node in its data centre, entry nodes of its region
+    and then any others take over.
+    """
+    alive = members.live_entry_nodes()
+    local = [m.name for m in alive if m.data_centre == agent.data_centre]
+    regional = [m.name for m in alive if m.region == agent.region]
+    names = local or regional or [m.name for m in alive]
+    return rendezvous_order(topic=f"push/{agent.name}", members=names)[
+        :PUSHERS_PER_AGENT
+    ]
+
+
+def compare_candidates(
+    members: Members, me: Identity, *, remote: bool
+) -> tuple[Member, ...]:
+    """Return the entry nodes that a node may compare generations with."""
+    alive = [m for m in members.live_entry_nodes() if m.name != me.name]
+    local = tuple(m for m in alive if m.data_centre == me.data_centre)
+    others = tuple(m for m in alive if m.data_centre != me.data_centre)
+    if remote:
+        return others or local
+    return local or others
+
+
+def choose_compare_peer(
+    members: Members, me: Identity, seeds: Sequence[str], rng: random.Random
+) -> tuple[str, str] | None:
+    """Return (name, node address) of the next peer, or None if there is none.
+
+    The name is empty for a seed address from the settings, which is used while
+    no entry node is known to be alive.
+    """
+    remote = rng.randrange(REMOTE_COMPARE_ONE_IN) == 0
+    candidates = compare_candidates(members, me, remote=remote)
+    if candidates:
+        chosen = rng.choice(candidates)
+        return chosen.name, chosen.node_address
+    others = [address for address in seeds if address != me.node_address]
+    return ("", rng.choice(others)) if others else None
+
+
+def probed_entry_nodes(members: Members, me: Identity, count: int) -> list[str]:
+    """Return the entry nodes that `me` probes: its nearest live predecessors.
+
+    In watch order every node probes the `count` live nodes ranked before it
+    (cyclically), so the next in line notices when the watchers die, and each
+    node is probed by a bounded number of others.
+    """
+    order = watch_order(members, me.data_centre)
+    if me.name not in order:
+        order.append(me.name)
+    position = order.index(me.name)
+    before = order[position - 1 :: -1] if position else []
+    after = order[:position:-1]
+    return (before + after)[:count]
+
+
+def probed_agents(members: Members, me: Identity, limit: int) -> list[str]:
+    """Return the agents that an entry node probes, at most `limit`.
+
+    Agents of the own data centre come first, each group in the node's own
+    rendezvous order, so different entry nodes cover different agents.
+    """
+    agents = [
+        m
+        for m in members.by_name.values()
+        if m.role is Role.BACKEND and m.state is not MemberState.LEAVING
+    ]
+    local = [m.name for m in agents if m.data_centre == me.data_centre]
+    others = [m.name for m in agents if m.data_centre != me.data_centre]
+    topic = f"probe/{me.name}"
+    ordered = rendezvous_order(topic=topic, members=local) + rendezvous_order(
+        topic=topic, members=others
+    )
+    return ordered[:limit]
+
+
+def _reachable(members: Members, role: Role) -> list[Member]:
+    return [
+        member
+        for _, member in sorted(members.by_name.items())
+        if member.role is role and member.state is not MemberState.DEAD
+    ]
--- a/packages/core/eelgrassdale/wire/client.py
+++ b/packages/core/eelgrassdale/wire/client.py
@@ -6,6 +6,7 @@
 """
 
 import socket
+from collections.abc import Callable
 from typing import Any
 
 from attrs import frozen
@@ -49,6 +50,28 @@
     return Address(host=host, port=int(port))
 
 
+class CountingSocket(TSocket):
+    """A Thrift socket that counts the bytes it moved in `moved_bytes`."""
+
+    moved_bytes = 0
+
+    def read(self, size: int) -> bytes:
+        """Read up to `size` bytes."""
+        data = super().read(size)
+        self.moved_bytes += len(data)
+        return data
+
+    def write(self, data: bytes) -> None:
+        """Write all of `data`."""
+        super().write(data)
+        self.moved_bytes += len(data)
+
+    def take_moved_bytes(self) -> int:
+        """Return the bytes moved since the last call of this method."""
+        moved, self.moved_bytes = self.moved_bytes, 0
+        return moved
+
+
 class NodeConnection:
     """A connection that opens on first use and reopens after a failure.
 
@@ -58,12 +81,21 @@
         `host:port` of the other node.
     connect_seconds : float
         Timeout of opening the connection.
+    on_bytes : Callable[[int], None], optional
+        Called after each call with the bytes it sent and received.
     """
 
-    def __init__(self, *, address: str, connect_seconds: float = 1.0) -> None:
+    def __init__(
+        self,
+        *,
+        address: str,
+        connect_seconds: float = 1.0,
+        on_bytes: Callable[[int], None] | None = None,
+    ) -> None:
         self.address = address
         self._connect_seconds = connect_seconds
-        self._socket: TSocket | None = None
+        self._on_bytes = on_bytes
+        self._socket: CountingSocket | None = None
         self._client: TClient | None = None
 
     def call(self, name: str, *args: Any, timeout_seconds: float) -> Any:
@@ -78,12 +110,16 @@
 
         """
         client = self._open()
-        self._socket.set_timeout(int(timeout_seconds * 1000))
+        sock = self._socket
+        sock.set_timeout(int(timeout_seconds * 1000))
         try:
             return getattr(client, name)(*args)
         except Exception as exc:
             self.close()
             raise UnknownDeliveryError(f"{name} at {self.address}: {exc!r}") from exc
+        finally:
+            if self._on_bytes is not None:
+                self._on_bytes(sock.take_moved_bytes())
 
     def close(self) -> None:
         """Close the connection; the next call opens a new one."""
@@ -95,7 +131,7 @@
         if self._client is not None:
             return self._client
         address = parse_address(self.address)
-        sock = TSocket(
+        sock = CountingSocket(
             address.host,
             address.port,
             socket_timeout=int(self._connect_seconds * 1000),
--- a/packages/core/eelgrassdale/wire/nodes.thrift
+++ b/packages/core/eelgrassdale/wire/nodes.thrift
@@ -102,7 +102,7 @@
   4: list<ConfigObject> changed,
   5: list<string> removed,
   6: i64 members_version,
-  7: binary members,        // VM list as JSON, empty when unchanged
+  7: binary members,        // VM list as JSON in zlib format, empty when unchanged
 }
 
 struct CompareRequest {
@@ -116,6 +116,7 @@
   2: i64 generation,
   3: ConfigDelta delta,     // absent when the asker is current
   4: i64 members_version,
+  5: list<string> dead,     // name@incarnation, found dead by the receiver itself
 }
 
 struct ChunkRequest {
--- a/packages/core/eelgrassdale/wire/server.py
+++ b/packages/core/eelgrassdale/wire/server.py
@@ -3,14 +3,15 @@
 import contextlib
 import socket
 import threading
+from collections.abc import Callable
 from typing import Any
 
 import structlog
 from thriftpy2.protocol import TCyBinaryProtocolFactory
 from thriftpy2.thrift import TProcessor
-from thriftpy2.transport import TCyFramedTransportFactory, TSocket
+from thriftpy2.transport import TCyFramedTransportFactory
 
-from eelgrassdale.wire.client import parse_address
+from eelgrassdale.wire.client import CountingSocket, parse_address
 
 ACCEPT_TIMEOUT_SECONDS = 0.2
 LISTEN_BACKLOG = 512
@@ -31,14 +32,24 @@
         `host:port` to bind.
     max_connections : int
         Further connections are closed at once.
+    on_bytes : Callable[[int], None], optional
+        Called after each call, in the thread that served it, with the bytes
+        of the call and its answer.
     """
 
     def __init__(
-        self, *, service: Any, handler: object, address: str, max_connections: int = 512
+        self,
+        *,
+        service: Any,
+        handler: object,
+        address: str,
+        max_connections: int = 512,
+        on_bytes: Callable[[int], None] | None = None,
     ) -> None:
         self._processor = TProcessor(service, handler)
         self._address = parse_address(address)
         self._max_connections = max_connections
+        self._on_bytes = on_bytes
         self._stopping = threading.Event()
         self._lock = threading.Lock()
         self._open: set[socket.socket] = set()
@@ -102,13 +113,15 @@
     def _serve(self, conn: socket.socket) -> None:
         conn.settimeout(None)
         conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock = TSocket()
+        sock = CountingSocket()
         sock.set_handle(conn)
         transport = TCyFramedTransportFactory().get_transport(sock)
         protocol = TCyBinaryProtocolFactory().get_protocol(transport)
         try:
             while not self._stopping.is_set():
                 self._processor.process(protocol, protocol)
+                if self._on_bytes is not None:
+                    self._on_bytes(sock.take_moved_bytes())
         except EOFError:
             pass
         except Exception as exc:
