--- a/packages/core/eelgrassdale/membership/suspicion.py
+++ b/packages/core/eelgrassdale/membership/suspicion.py
@@ -26,10 +26,13 @@
 
 
 def after_answer(
-    health: Health, *, incarnation: int, leaving: bool, now: float
+    health: Health, *, incarnation: int, leaving: bool | None, now: float
 ) -> Health:
     """Return the health after the member answered or sent a call.
 
+    Where the message does not tell whether the member is leaving (`leaving`
+    None), a life that was leaving still is.
+
     Examples
     --------
     >>> old = Health(incarnation=7, state=MemberState.DEAD)
@@ -41,6 +44,8 @@
     """
     if incarnation < health.incarnation:
         return health
+    if leaving is None:
+        leaving = health.leaving and incarnation == health.incarnation
     return Health(
         state=MemberState.ALIVE, incarnation=incarnation, leaving=leaving, heard_at=now
     )
--- a/packages/core/eelgrassdale/membership/table.py
+++ b/packages/core/eelgrassdale/membership/table.py
@@ -97,11 +97,16 @@
             known = parsed.ok.entries
             self._health = {n: h for n, h in self._health.items() if n in known}
             self._hints = {n: h for n, h in self._hints.items() if n in known}
-            self._publish()
+            self._publish({name: self._resolve(name) for name in known})
         return True
 
-    def heard(self, name: str, *, incarnation: int, leaving: bool = False) -> None:
-        """Record that a member answered or called."""
+    def heard(
+        self, name: str, *, incarnation: int, leaving: bool | None = None
+    ) -> None:
+        """Record that a member answered or called.
+
+        `leaving` is what it said about itself, None if it said nothing.
+        """
         with self._lock:
             now = self._clock.monotonic()
             before = self.health(name)
@@ -171,25 +176,20 @@
     def take_dead_digest(self, digest: Iterable[str]) -> None:
         """Take the verdicts of another entry node as hints."""
         with self._lock:
-            now = self._clock.monotonic()
-            for text in list(digest)[:DEAD_DIGEST_LIMIT]:
-                name, _, incarnation = text.rpartition("@")
-                if name in self._vm_list.entries and incarnation.isdecimal():
-                    self._hints[name] = DeadHint(
-                        incarnation=int(incarnation), expires_at=now + HINT_SECONDS
-                    )
-            self._refresh()
+            expires_at = self._clock.monotonic() + HINT_SECONDS
+            hints = _parse_digest(digest, expires_at)
+            hints = {n: h for n, h in hints.items() if n in self._vm_list.entries}
+            self._hints.update(hints)
+            self._refresh(hints)
 
     def expire_hints(self) -> None:
         """Drop the hints whose time is over."""
         with self._lock:
             now = self._clock.monotonic()
-            self._hints = {
-                name: hint
-                for name, hint in self._hints.items()
-                if hint.expires_at > now
-            }
-            self._refresh()
+            over = [n for n, hint in self._hints.items() if hint.expires_at <= now]
+            for name in over:
+                del self._hints[name]
+            self._refresh(over)
 
     def _store(self, name: str, before: Health, after: Health) -> None:
         if name not in self._vm_list.entries:
@@ -204,26 +204,42 @@
         self._health[name] = after
         if before.state is not after.state:
             log.info("member state", member=name, state=after.state.value)
-        self._refresh()
-
-    def _refresh(self) -> None:
-        if self._resolve_all() != self._members.by_name:
-            self._publish()
+        self._refresh([name])
+
+    def _refresh(self, names: Iterable[str]) -> None:
+        """Publish a snapshot if the state of one of `names` changed."""
+        by_name = self._members.by_name
+        resolved = {name: self._resolve(name) for name in names}
+        changed = {
+            name: member
+            for name, member in resolved.items()
+            if by_name.get(name) != member
+        }
+        if changed:
+            self._publish({**by_name, **changed})
 
-    def _publish(self) -> None:
-        self._members = Members(
-            version=self._members.version + 1, by_name=self._resolve_all()
-        )
+    def _publish(self, by_name: Mapping[str, Member]) -> None:
+        self._members = Members(version=self._members.version + 1, by_name=by_name)
         # Called under the lock, so that callbacks see snapshots in order.
         for callback in list(self._callbacks):
             callback(self._members)
 
-    def _resolve_all(self) -> Mapping[str, Member]:
-        now = self._clock.monotonic()
-        return {
-            name: _resolve(entry, self.health(name), self._hints.get(name), now)
-            for name, entry in self._vm_list.entries.items()
-        }
+    def _resolve(self, name: str) -> Member:
+        return _resolve(
+            self._vm_list.entries[name],
+            self.health(name),
+            self._hints.get(name),
+            self._clock.monotonic(),
+        )
+
+
+def _parse_digest(digest: Iterable[str], expires_at: float) -> dict[str, DeadHint]:
+    hints = {}
+    for text in list(digest)[:DEAD_DIGEST_LIMIT]:
+        name, _, incarnation = text.rpartition("@")
+        if name and incarnation.isdecimal():
+            hints[name] = DeadHint(incarnation=int(incarnation), expires_at=expires_at)
+    return hints
 
 
 def _resolve(
--- a/packages/core/eelgrassdale/node/health.py
+++ b/packages/core/eelgrassdale/node/health.py
@@ -82,9 +82,12 @@
     def _due(self, members: Members, now: float) -> list[str]:
         names = returning_members(members, self._states(self._unreachable(), now), now)
         if self._context.identity.role is Role.ENTRY:
-            names += probed_entry_nodes(
+            others = probed_entry_nodes(
                 members, self._context.identity, PROBED_ENTRY_NODES
             )
+            names += stalest(
+                self._states(others, now), now=now, limit=PROBED_ENTRY_NODES
+            )
             agents = probed_agents(members, self._context.identity, self._probe_limit)
             names += stalest(
                 self._states(agents, now), now=now, limit=AGENT_PROBES_PER_SECOND
--- a/packages/core/eelgrassdale/spread/replica.py
+++ b/packages/core/eelgrassdale/spread/replica.py
@@ -115,6 +115,7 @@
     def _check_same_content(self, state: ReplicaState, delta: ConfigDelta) -> None:
         self._monitor.check(
             delta.generation != state.generation
+            or delta.generation == 0
             or not delta.head_digest
             or delta.head_digest == state.head_digest,
             "generation_has_one_content",
