--- a/packages/core/eelgrassdale/node/runtime.py
+++ b/packages/core/eelgrassdale/node/runtime.py
@@ -62,7 +62,7 @@
         self._pushes = ThreadPoolExecutor(PUSH_THREADS, thread_name_prefix="push")
         self._probes = ThreadPoolExecutor(PROBE_THREADS, thread_name_prefix="probe")
         self._push = PushTask(context=context, links=self._links, pool=self._pushes)
-        self._compare = CompareTask(context=context, links=self._links, seeds=cfg.peers)
+        self._compare = CompareTask(context=context, links=self._links, seeds=cfg.peer)
         self._loops = self._make_loops()
         self._served = threading.local()
         self._lock = threading.Lock()
@@ -257,7 +257,7 @@
         asked = [self._probes.submit(self._read_store)]
         asked += [
             self._probes.submit(self._links.compare, "", address)
-            for address in self._cfg.peers
+            for address in self._cfg.peer
             if address != self._cfg.node_address
         ]
         wait_all(asked, timeout=BOOT_SECONDS)
--- a/packages/core/eelgrassdale/settings.py
+++ b/packages/core/eelgrassdale/settings.py
@@ -131,7 +131,7 @@
 class NodeSettings:
     """Settings that both programs share.
 
-    `peers` are node addresses of a few entry nodes, which a node asks when it
+    `peer` holds the node addresses of a few entry nodes, which a node asks when it
     starts. At most `probe_limit` backend servers are probed by an entry node.
     """
 
@@ -141,7 +141,7 @@
     node_address: str = field(validator=address)
     object_api_url: str = field(validator=url)
     vm_list_url: str = field(validator=url)
-    peers: tuple[str, ...] = field(default=(), converter=tuple, validator=each(address))
+    peer: tuple[str, ...] = field(default=(), converter=tuple, validator=each(address))
     probe_limit: int = field(
         default=32, converter=parse_int, validator=number_between(1, 512)
     )
@@ -207,7 +207,6 @@
     click.option("--vm-list-url", default="", help="URL of the VM list."),
     click.option(
         "--peer",
-        "peers",
         multiple=True,
         help="Node address of an entry node to ask at start; may be repeated.",
     ),
