Add config diff, apply and status

Cause: an operator needs to see a change before it is made, to lose a race visibly and to learn where an accepted generation is in force.

--- a/packages/operators/eelgrassdale_operators/__init__.py
+++ b/packages/operators/eelgrassdale_operators/__init__.py
@@ -24,21 +24,41 @@
     diff_configurations,
     print_configuration,
 )
+from eelgrassdale_operators.applying import (
+    AppliedChange,
+    StoredConfiguration,
+    apply_configuration,
+    read_stored,
+)
 from eelgrassdale_operators.building import build_configuration
 from eelgrassdale_operators.files import load_configuration
+from eelgrassdale_operators.progress import (
+    InForceReport,
+    in_force_report,
+    read_statuses,
+    wait_in_force,
+)
 
 __all__ = [
+    "AppliedChange",
     "ClientAccount",
     "Configuration",
     "DataCentre",
     "DataCentreState",
+    "InForceReport",
     "ModelVersion",
     "Service",
     "ServiceKind",
+    "StoredConfiguration",
     "Vm",
     "VmState",
+    "apply_configuration",
     "build_configuration",
     "diff_configurations",
+    "in_force_report",
     "load_configuration",
     "print_configuration",
+    "read_statuses",
+    "read_stored",
+    "wait_in_force",
 ]
