--- /dev/null
+++ b/packages/core/eelgrassdale/platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of this package."""
--- /dev/null
+++ b/packages/core/eelgrassdale/weights/ownership.py
@@ -0,0 +1,51 @@
+"""Which member of a group fetches which chunk of a model version."""
+
+from collections.abc import Collection
+
+from eelgrassdale.hashing import rendezvous_order
+
+
+def chunk_topic(manifest: str, index: int) -> str:
+    """Return the rendezvous topic of a chunk."""
+    return f"{manifest}/{index}"
+
+
+def assign_owners(
+    *, manifest: str, count: int, members: Collection[str]
+) -> tuple[str, ...]:
+    """Return the owner of each chunk, with at most ceil(count/N) chunks each.
+
+    Each chunk goes to the first member in its rendezvous order that still has
+    room. Every node that knows the same members computes the same owners.
+
+    Parameters
+    ----------
+    manifest : str
+        Digest of the manifest.
+    count : int
+        Number of chunks.
+    members : collection of str
+        Names of the members; empty gives an empty result.
+
+    Examples
+    --------
+    >>> owners = assign_owners(manifest="m", count=4, members=["a", "b"])
+    >>> sorted(owners)
+    ['a', 'a', 'b', 'b']
+
+    """
+    if not members:
+        return ()
+    room = dict.fromkeys(members, -(-count // len(members)))
+    owners = []
+    for index in range(count):
+        order = candidates(manifest=manifest, index=index, members=members)
+        owner = next(member for member in order if room[member] > 0)
+        room[owner] -= 1
+        owners.append(owner)
+    return tuple(owners)
+
+
+def candidates(*, manifest: str, index: int, members: Collection[str]) -> list[str]:
+    """Return the members in the rendezvous order of a chunk."""
+    return rendezvous_order(topic=chunk_topic(manifest, index), members=members)
