Add the request path of the entry node

`eelgrassdale serve` takes callers' requests over HTTP, queues them per service, chooses a backend server by headroom, submits them to its agent and streams the answer back. Streamed answers hold no server thread: the gateway detaches the socket from CherryPy's server and the writer task writes it without blocking.

--- /dev/null
+++ b/packages/core/eelgrassdale/routing/choice.py
@@ -0,0 +1,167 @@
+"""Choice of the backend server for one request."""
+
+from collections.abc import Sequence
+from enum import IntEnum
+from random import Random
+
+from attrs import frozen
+
+from eelgrassdale.hashing import rendezvous_order
+
+# A prefix holder keeps its prompts while it runs at most a quarter more than
+# the mean, which bounds the imbalance that affinity can cause.
+AFFINITY_LOAD_FACTOR = 1.25
+AFFINITY_LOAD_SLACK = 1
+
+
+class Tier(IntEnum):
+    """Distance from the entry node to a backend server; lower is preferred."""
+
+    DATA_CENTRE = 0
+    REGION = 1
+    OTHER_REGION = 2
+
+
+@frozen(kw_only=True)
+class Place:
+    """Where the entry node is."""
+
+    data_centre: str
+    region: str
+
+
+@frozen(kw_only=True)
+class AgentView:
+    """What the entry node knows of one backend server for one service.
+
+    `slots` and `memory_bytes` are free according to the last report;
+    `pending_slots` and `pending_bytes` are work sent since. `suspect` is true
+    after a refused connection or one silent second.
+    """
+
+    name: str
+    data_centre: str
+    region: str
+    slots: int
+    memory_bytes: int
+    limit: int = 1
+    running: int = 0
+    pending_slots: int = 0
+    pending_bytes: int = 0
+    accepting: bool = True
+    suspect: bool = False
+    model_version: str = ""
+
+    @property
+    def free_slots(self) -> int:
+        """Free slots minus the work sent since the report."""
+        return self.slots - self.pending_slots
+
+    @property
+    def free_bytes(self) -> int:
+        """Free memory minus the work sent since the report."""
+        return self.memory_bytes - self.pending_bytes
+
+    @property
+    def load(self) -> int:
+        """Requests that the backend server holds or was sent."""
+        return self.running + self.pending_slots
+
+
+@frozen(kw_only=True)
+class Need:
+    """What one request needs of a backend server.
+
+    `model_version` is set for a resumed stream; `affinity` is the digest of
+    the prompt prefix or empty; `allow_suspect` is true for work that may run
+    twice; `allow_other_region` tells whether the byte budget covers it.
+    """
+
+    memory_bytes: int = 0
+    model_version: str = ""
+    affinity: str = ""
+    excluded: frozenset[str] = frozenset()
+    allow_suspect: bool = True
+    allow_other_region: bool = True
+
+
+def tier_of(view: AgentView, place: Place) -> Tier:
+    """Return how far a backend server is from the entry node."""
+    if view.data_centre == place.data_centre:
+        return Tier.DATA_CENTRE
+    if view.region == place.region:
+        return Tier.REGION
+    return Tier.OTHER_REGION
+
+
+def choose(
+    *, views: Sequence[AgentView], place: Place, need: Need, rng: Random
+) -> AgentView | None:
+    """Return the backend server that gets a request, or None to let it wait.
+
+    The nearest tier with headroom wins. Within it the holder of the prompt
+    prefix wins while its load is within the bound, otherwise the one of two
+    random candidates with more headroom. A suspect is chosen only when no
+    other backend server, free or busy, remains.
+
+    Examples
+    --------
+    >>> here = Place(data_centre="n1", region="n")
+    >>> near = AgentView(
+    ...     name="a", data_centre="n1", region="n", slots=1, memory_bytes=9
+    ... )
+    >>> far = AgentView(
+    ...     name="b", data_centre="s1", region="s", slots=8, memory_bytes=9
+    ... )
+    >>> choose(views=[near, far], place=here, need=Need(), rng=Random(1)).name
+    'a'
+
+    """
+    usable = [view for view in views if _is_usable(view, need)]
+    trusted = [view for view in usable if not view.suspect]
+    if not trusted and need.allow_suspect:
+        trusted = usable
+    free = [view for view in trusted if _has_headroom(view, need)]
+    for tier in Tier:
+        if tier is Tier.OTHER_REGION and not need.allow_other_region:
+            break
+        in_tier = [view for view in free if tier_of(view, place) is tier]
+        if in_tier:
+            return _choose_within(in_tier, need, rng)
+    return None
+
+
+def _is_usable(view: AgentView, need: Need) -> bool:
+    return (
+        view.accepting
+        and view.name not in need.excluded
+        and need.model_version in ("", view.model_version)
+    )
+
+
+def _has_headroom(view: AgentView, need: Need) -> bool:
+    return view.free_slots > 0 and view.free_bytes >= need.memory_bytes
+
+
+def _choose_within(views: list[AgentView], need: Need, rng: Random) -> AgentView:
+    if len(views) == 1:
+        return views[0]
+    holder = _prefix_holder(views, need)
+    if holder is not None:
+        return holder
+    first, second = rng.sample(views, 2)
+    return max(first, second, key=_relative_headroom)
+
+
+def _prefix_holder(views: list[AgentView], need: Need) -> AgentView | None:
+    if not need.affinity:
+        return None
+    names = rendezvous_order(topic=need.affinity, members=[v.name for v in views])
+    holder = next(view for view in views if view.name == names[0])
+    mean = sum(view.load for view in views) / len(views)
+    bound = AFFINITY_LOAD_FACTOR * mean + AFFINITY_LOAD_SLACK
+    return holder if holder.load <= bound else None
+
+
+def _relative_headroom(view: AgentView) -> tuple[float, int]:
+    return view.free_slots / max(view.limit, 1), view.free_bytes
--- /dev/null
+++ b/packages/entry/eelgrassdale_entry/agents.py
@@ -0,0 +1,188 @@
+"""What the dispatcher knows of the agents in its subset."""
+
+from collections.abc import Callable, Iterable
+
+from attrs import define, field
+
+from eelgrassdale.catalog import Configuration, Vm, VmState
+from eelgrassdale.clock import Clock
+from eelgrassdale.identity import Role
+from eelgrassdale.membership.members import Member, Members, MemberState
+from eelgrassdale.routing.choice import AgentView, Place
+from eelgrassdale.routing.subset import SUBSET_SIZE, choose_subset
+from eelgrassdale.wire import Headroom
+from eelgrassdale_entry.links import AgentLink
+
+# A suspect that has not answered for this long is tried again only after its
+# next answer to a poll.
+USABLE_STATES = (MemberState.ALIVE, MemberState.SUSPECT)
+
+LinkFactory = Callable[[str, str], AgentLink]
+
+
+@define(kw_only=True)
+class AgentState:
+    """One agent with its link and last report."""
+
+    member: Member
+    link: AgentLink
+    incarnation: int = 0
+    headroom: dict[str, Headroom] = field(factory=dict)
+    pending: dict[str, int] = field(factory=dict)
+    flights: int = 0
+    is_silent: bool = False
+    heard_at: float = 0.0
+
+
+class AgentTable:
+    """Subsets, headroom views and links; owned by the dispatcher task."""
+
+    def __init__(
+        self,
+        *,
+        node: str,
+        place: Place,
+        clock: Clock,
+        new_link: LinkFactory,
+        subset_size: int = SUBSET_SIZE,
+    ) -> None:
+        self._node = node
+        self._place = place
+        self._clock = clock
+        self._new_link = new_link
+        self._subset_size = subset_size
+        self._agents: dict[str, AgentState] = {}
+        self._subsets: dict[str, tuple[str, ...]] = {}
+
+    def update(self, cfg: Configuration, members: Members) -> None:
+        """Recompute the subsets and open or close links accordingly."""
+        self._subsets = {
+            service: choose_subset(
+                service=service,
+                node=self._node,
+                place=self._place,
+                members=usable_members(cfg, members, service),
+                size=self._subset_size,
+            )
+            for service in cfg.services
+        }
+        wanted = {name for names in self._subsets.values() for name in names}
+        for name in wanted:
+            self.open(members.by_name[name])
+        for name, agent in list(self._agents.items()):
+            member = members.by_name.get(name)
+            if member is not None:
+                agent.member = member
+            if name not in wanted and not agent.flights:
+                agent.link.close()
+                del self._agents[name]
+
+    def open(self, member: Member) -> AgentState:
+        """Return the state of an agent, with a link to its current address."""
+        agent = self._agents.get(member.name)
+        if agent is not None and agent.link.address == member.node_address:
+            return agent
+        if agent is not None:
+            agent.link.close()
+        link = self._new_link(member.name, member.node_address)
+        link.start()
+        agent = AgentState(member=member, link=link)
+        self._agents[member.name] = agent
+        return agent
+
+    def get(self, name: str) -> AgentState | None:
+        """Return the state of an agent, or None when it has no link."""
+        return self._agents.get(name)
+
+    def links(self) -> list[AgentLink]:
+        """Return all open links."""
+        return [agent.link for agent in self._agents.values()]
+
+    def subset(self, service: str) -> tuple[str, ...]:
+        """Return the agents used for a service."""
+        return self._subsets.get(service, ())
+
+    def views(self, cfg: Configuration, service: str) -> list[AgentView]:
+        """Return the agents that may receive new work of a service.
+
+        Agents that have not reported headroom yet are left out.
+        """
+        found = []
+        for name in self.subset(service):
+            agent = self._agents.get(name)
+            vm = cfg.vms.get(name)
+            if agent is None or vm is None or not takes_new_work(cfg, vm, service):
+                continue
+            headroom = agent.headroom.get(service)
+            if headroom is not None and agent.member.state in USABLE_STATES:
+                found.append(_view(agent, headroom))
+        return found
+
+    def note_sent(self, agent: AgentState, request_id: str, memory_bytes: int) -> None:
+        """Count work sent since the last report."""
+        agent.pending[request_id] = memory_bytes
+        agent.flights += 1
+
+    def note_answer(
+        self, agent: AgentState, request_id: str, service: str, headroom
+    ) -> None:
+        """Take the answer to a submission, whose headroom includes the work."""
+        agent.pending.pop(request_id, None)
+        if headroom is not None:
+            agent.headroom[service] = headroom
+
+    def note_report(self, agent: AgentState, incarnation: int, headroom) -> None:
+        """Take a report that came with a poll."""
+        agent.is_silent = False
+        agent.heard_at = self._clock.monotonic()
+        agent.incarnation = incarnation
+        agent.headroom = dict(headroom)
+
+    def note_silent(self, agent: AgentState) -> None:
+        """Make an agent suspect until it answers a poll."""
+        agent.is_silent = True
+
+    def nudge(self, service: str) -> None:
+        """Ask the agents of a service for their headroom soon."""
+        for name in self.subset(service):
+            agent = self._agents.get(name)
+            if agent is not None:
+                agent.link.nudge()
+
+
+def usable_members(
+    cfg: Configuration, members: Members, service: str
+) -> Iterable[Member]:
+    """Return the members among which the subset of a service is chosen."""
+    for vm in cfg.backend_servers_of(service):
+        member = members.by_name.get(vm.name)
+        if member is None or not takes_new_work(cfg, vm, service):
+            continue
+        if member.role is Role.BACKEND and member.state in USABLE_STATES:
+            yield member
+
+
+def takes_new_work(cfg: Configuration, vm: Vm, service: str) -> bool:
+    """Return whether the configuration lets a VM receive work of a service."""
+    return (
+        vm.service == service
+        and vm.state is VmState.IN_SERVICE
+        and cfg.is_in_service(vm.data_centre)
+    )
+
+
+def _view(agent: AgentState, headroom: Headroom) -> AgentView:
+    return AgentView(
+        name=agent.member.name,
+        data_centre=agent.member.data_centre,
+        region=agent.member.region,
+        slots=headroom.slots or 0,
+        memory_bytes=headroom.memory_bytes or 0,
+        limit=headroom.limit or 1,
+        running=headroom.running or 0,
+        pending_slots=len(agent.pending),
+        pending_bytes=sum(agent.pending.values()),
+        accepting=bool(headroom.accepting),
+        suspect=agent.is_silent or agent.member.state is MemberState.SUSPECT,
+        model_version=headroom.model_version or "",
+    )
--- /dev/null
+++ b/packages/entry/eelgrassdale_entry/bulkheads.py
@@ -0,0 +1,41 @@
+"""Limit of the server threads that one service may keep waiting."""
+
+import threading
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+
+class Bulkheads:
+    """Counts waiting server threads by service.
+
+    A service at its limit gets no further thread; its callers are handed to
+    the writer task, which needs none.
+
+    Examples
+    --------
+    >>> bulkheads = Bulkheads(limit=1)
+    >>> with bulkheads.thread_for("a") as first, bulkheads.thread_for("a") as second:
+    ...     first, second
+    (True, False)
+
+    """
+
+    def __init__(self, *, limit: int) -> None:
+        self._limit = limit
+        self._lock = threading.Lock()
+        self._waiting: dict[str, int] = {}
+
+    @contextmanager
+    def thread_for(self, service: str) -> Iterator[bool]:
+        """Yield whether a thread may wait for this service."""
+        with self._lock:
+            waiting = self._waiting.get(service, 0)
+            is_free = waiting < self._limit
+            if is_free:
+                self._waiting[service] = waiting + 1
+        try:
+            yield is_free
+        finally:
+            if is_free:
+                with self._lock:
+                    self._waiting[service] -= 1
--- a/packages/entry/eelgrassdale_entry/cli.py
+++ b/packages/entry/eelgrassdale_entry/cli.py
@@ -4,15 +4,21 @@
 
 from eelgrassdale import __version__
 from eelgrassdale_entry.commands.config import config
+from eelgrassdale_entry.commands.serve import serve
 
 
 @click.group()
 @click.version_option(__version__, prog_name="eelgrassdale")
 def main() -> None:
-    """Run an entry node or operate a deployment of eelgrassdale."""
+    """Run an entry node or operate a deployment of eelgrassdale.
+
+    Shell completion: put `eval "$(_EELGRASSDALE_COMPLETE=bash_source
+    eelgrassdale)"` into ~/.bashrc; for zsh use `zsh_source` and ~/.zshrc.
+    """
 
 
 main.add_command(config)
+main.add_command(serve)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/entry/eelgrassdale_entry/program.py
@@ -0,0 +1,222 @@
+"""Composition of an entry node and its graceful stop."""
+
+import signal
+import sys
+import threading
+
+import click
+import structlog
+
+from eelgrassdale.clock import Clock
+from eelgrassdale.identity import Role
+from eelgrassdale.node.context import NodeContext, new_context
+from eelgrassdale.node.runtime import NodeRuntime
+from eelgrassdale.results import ResultCode
+from eelgrassdale.routing.choice import Place
+from eelgrassdale.routing.regions import RegionBudget
+from eelgrassdale.settings import EXIT_SETTINGS_INVALID
+from eelgrassdale.telemetry import configure_logs
+from eelgrassdale.wire import NodeServer, NodeService
+from eelgrassdale.wire.client import parse_address
+from eelgrassdale_entry.agents import AgentTable
+from eelgrassdale_entry.bulkheads import Bulkheads
+from eelgrassdale_entry.callers import CallerContext, new_application
+from eelgrassdale_entry.dispatcher import Dispatcher, DispatcherContext
+from eelgrassdale_entry.handler import EntryHandler
+from eelgrassdale_entry.httpserver import CallerServer
+from eelgrassdale_entry.intake import Intake
+from eelgrassdale_entry.links import AgentLink, LinkContext
+from eelgrassdale_entry.listing import Listing
+from eelgrassdale_entry.memory import ReaderMemory
+from eelgrassdale_entry.messages import TopologyChanged
+from eelgrassdale_entry.settings import EntrySettings
+from eelgrassdale_entry.writer import Writer
+
+POLL_SECONDS = 0.05
+# Counters that `status` reports from the start, also while they are 0.
+COUNTERS = (
+    "requests",
+    "requests_refused",
+    "requests_failed",
+    "retries",
+    "frames_dropped",
+    "slow_readers_cut",
+)
+
+log = structlog.get_logger(__name__)
+
+
+class EntryNode:
+    """All tasks of one entry node."""
+
+    def __init__(self, *, cfg: EntrySettings, context: NodeContext) -> None:
+        self._cfg = cfg
+        self._context = context
+        for name in COUNTERS:
+            context.metrics.count(name, 0)
+        self.runtime = NodeRuntime(cfg=cfg, context=context)
+        self.memory = ReaderMemory(
+            bound_bytes=cfg.reader_memory_bytes,
+            metrics=context.metrics,
+            monitor=context.monitor,
+        )
+        self.writer = Writer(
+            clock=context.clock,
+            metrics=context.metrics,
+            slow_reader_seconds=cfg.slow_reader_seconds,
+        )
+        self.dispatcher = self._new_dispatcher()
+        self.intake = Intake(
+            clock=context.clock,
+            replica=context.replica,
+            metrics=context.metrics,
+            tracer=context.tracer,
+            memory=self.memory,
+            writer=self.writer,
+            post=self.dispatcher.post,
+            may_serve=self.runtime.may_serve,
+        )
+        self.node_server = NodeServer(
+            service=NodeService,
+            handler=EntryHandler(runtime=self.runtime, memory=self.memory),
+            address=cfg.node_address,
+        )
+        self.caller_server = self._new_caller_server()
+        self.admin_server = None
+
+    def start(self) -> None:
+        """Bind all addresses, then start the tasks.
+
+        Raises
+        ------
+        OSError
+            An address cannot be bound.
+
+        """
+        self.node_server.start()
+        self.caller_server.start_serving()
+        self.writer.start()
+        self.dispatcher.start()
+        self.runtime.start()
+        # Subscribed last, since a callback posts to the dispatcher.
+        self._context.replica.subscribe(self._topology_changed)
+        self._context.members.subscribe(self._topology_changed)
+        self._topology_changed()
+
+    def stop(self) -> None:
+        """Stop at once; `drain` comes before it in a graceful stop."""
+        self.caller_server.stop()
+        self.dispatcher.stop()
+        self.writer.stop()
+        self.node_server.stop()
+        self.runtime.stop()
+        self._context.tracer.close()
+
+    def drain(self) -> None:
+        """Leave the lists, keep serving, then refuse and finish what is held."""
+        clock = self._context.clock
+        self.runtime.leave()
+        log.info("leaving", keep_seconds=self._cfg.keep_seconds)
+        clock.sleep(min(self._cfg.keep_seconds, self._cfg.drain_seconds))
+        self.intake.refuse_new()
+        deadline = clock.monotonic() + self._cfg.finish_seconds
+        while self._is_busy() and clock.monotonic() < deadline:
+            clock.sleep(POLL_SECONDS)
+        log.info("drained", still_held=self.dispatcher.held())
+
+    def _is_busy(self) -> bool:
+        return bool(self.dispatcher.held() or self.writer.open_callers())
+
+    def _topology_changed(self, _: object = None) -> None:
+        self.dispatcher.post(TopologyChanged())
+
+    def _place(self) -> Place:
+        return Place(data_centre=self._cfg.data_centre, region=self._cfg.region)
+
+    def _new_dispatcher(self) -> Dispatcher:
+        context = self._context
+        links = LinkContext(
+            clock=context.clock,
+            metrics=context.metrics,
+            monitor=context.monitor,
+            post=lambda message: self.dispatcher.post(message),
+            envelope=self.runtime.envelope,
+        )
+        agents = AgentTable(
+            node=self._cfg.name,
+            place=self._place(),
+            clock=context.clock,
+            new_link=lambda agent, address: AgentLink(
+                agent=agent, address=address, context=links
+            ),
+            subset_size=self._cfg.subset_size,
+        )
+        return Dispatcher(
+            context=DispatcherContext(
+                clock=context.clock,
+                metrics=context.metrics,
+                monitor=context.monitor,
+                replica=context.replica,
+                members=context.members,
+                place=self._place(),
+            ),
+            agents=agents,
+            regions=RegionBudget(bytes_per_second=self._cfg.region_bytes_per_second),
+        )
+
+    def _new_caller_server(self) -> CallerServer:
+        context = self._context
+        listing = Listing(
+            name=self._cfg.name,
+            place=self._place(),
+            clock=context.clock,
+            replica=context.replica,
+            members=context.members,
+            offers=self.dispatcher.offers,
+            keep_seconds=self._cfg.keep_seconds,
+            key_seconds=self._cfg.key_seconds,
+        )
+        application = new_application(
+            CallerContext(
+                intake=self.intake,
+                listing=listing,
+                bulkheads=Bulkheads(limit=self._cfg.service_threads),
+                max_body_bytes=self._cfg.max_body_bytes,
+                health=self._health,
+            )
+        )
+        address = parse_address(self._cfg.caller_address)
+        return CallerServer(
+            address=(address.host, address.port),
+            application=application,
+            threads=self._cfg.caller_threads,
+            max_body_bytes=self._cfg.max_body_bytes,
+            sender_seconds=self._cfg.sender_seconds,
+        )
+
+    def _health(self) -> tuple[bool, dict]:
+        state = self.runtime.state()
+        generation = self._context.replica.current().generation
+        body = {"name": self._cfg.name, "state": state, "generation": generation}
+        return self.runtime.may_serve(), body
+
+
+def run(cfg: EntrySettings, clock: Clock | None = None) -> None:
+    """Run an entry node until SIGTERM or SIGINT, then stop it gracefully."""
+    configure_logs(log_format=cfg.log_format, level=cfg.log_level, node=cfg.name)
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stop.set())
+    context = new_context(cfg=cfg, role=Role.ENTRY, clock=clock)
+    node = EntryNode(cfg=cfg, context=context)
+    try:
+        node.start()
+    except OSError as exc:
+        code = ResultCode.ADDRESS_UNAVAILABLE
+        click.echo(f"{int(code)} {code.name} {exc}", err=True)
+        sys.exit(EXIT_SETTINGS_INVALID)
+    log.info("serving", caller_address=cfg.caller_address)
+    stop.wait()
+    node.drain()
+    node.stop()
+    log.info("stopped")
--- /dev/null
+++ b/packages/entry/eelgrassdale_entry/settings.py
@@ -0,0 +1,81 @@
+"""Settings of an entry node."""
+
+from attrs import field, frozen
+
+from eelgrassdale.settings import (
+    NodeSettings,
+    address,
+    each,
+    number_between,
+    optional,
+    parse_float,
+    parse_int,
+    refuse,
+)
+
+MEBIBYTE = 1024 * 1024
+MIN_TOKEN_CHARACTERS = 8
+
+
+def _operator_token(_owner, attribute, value) -> None:
+    if len(value) < MIN_TOKEN_CHARACTERS or not value.isprintable():
+        # The value is a secret and stays out of the message.
+        refuse(attribute, "(hidden)", f"at least {MIN_TOKEN_CHARACTERS} characters")
+
+
+def _integer(default: int, low: int, high: int):
+    return field(
+        default=default, converter=parse_int, validator=number_between(low, high)
+    )
+
+
+def _seconds(default: float, low: float, high: float):
+    return field(
+        default=default, converter=parse_float, validator=number_between(low, high)
+    )
+
+
+@frozen(kw_only=True)
+class EntrySettings(NodeSettings):
+    """Settings of `eelgrassdale serve`.
+
+    `drain_seconds` bounds how long a leaving node keeps accepting work after
+    it left the lists, and `finish_seconds` how long it then finishes what it
+    holds; together they are the longest duration of a graceful stop.
+    """
+
+    caller_address: str = field(default="", validator=address)
+    admin_address: str = field(default="", validator=optional(address))
+    operator_tokens: tuple[str, ...] = field(
+        default=(), converter=tuple, validator=each(_operator_token)
+    )
+    keep_seconds: int = _integer(30, 1, 3600)
+    key_seconds: int = _integer(60, 1, 600)
+    drain_seconds: float = _seconds(35.0, 0.0, 3600.0)
+    finish_seconds: float = _seconds(30.0, 0.0, 600.0)
+    slow_reader_seconds: float = _seconds(10.0, 0.1, 600.0)
+    sender_seconds: float = _seconds(10.0, 0.1, 600.0)
+    reader_memory_bytes: int = _integer(64 * MEBIBYTE, MEBIBYTE, 4096 * MEBIBYTE)
+    max_body_bytes: int = _integer(MEBIBYTE, 1024, 64 * MEBIBYTE)
+    caller_threads: int = _integer(64, 4, 1024)
+    service_threads: int = _integer(16, 1, 1024)
+    subset_size: int = _integer(32, 1, 512)
+    region_bytes_per_second: int = _integer(1_500_000, 1024, 1_000_000_000)
+
+
+OPTIONS = (
+    ("--caller-address", "", "host:port of the callers' interface."),
+    ("--admin-address", "", "host:port of the administration API, or none."),
+    ("--keep-seconds", "30", "Time that callers may keep the list of entry nodes."),
+    ("--key-seconds", "60", "Validity of issued idempotency keys."),
+    ("--drain-seconds", "35", "Longest time a leaving node accepts work."),
+    ("--finish-seconds", "30", "Longest time a leaving node finishes work after."),
+    ("--slow-reader-seconds", "10", "Time until a stopped reader is cut."),
+    ("--sender-seconds", "10", "Time within which a request must have arrived."),
+    ("--reader-memory-bytes", "67108864", "Bytes held for all callers together."),
+    ("--max-body-bytes", "1048576", "Largest request body."),
+    ("--caller-threads", "64", "Server threads of the callers' interface."),
+    ("--service-threads", "16", "Server threads that one service may keep waiting."),
+    ("--subset-size", "32", "Backend servers that this node uses for a service."),
+    ("--region-bytes-per-second", "1500000", "Byte budget to other regions."),
+)
