--- /dev/null
+++ b/packages/standins/eelgrassdale_standins/load.py
@@ -0,0 +1,180 @@
+"""Steady load of a deployment: each client account has one thread of requests."""
+
+import collections
+import itertools
+import json
+import threading
+
+import attrs
+
+from eelgrassdale_standins.callers import Answer, Caller, Entries, Outcome
+from eelgrassdale_standins.deployment import Deployment
+
+KEYS_AT_ONCE = 8
+MAX_TOKENS = 24
+PAUSE_SECONDS = 0.02
+REPEAT_EVERY = 5  # every fifth confirmed reservation is repeated with its key
+JOIN_SECONDS = 40.0
+EXAMPLES_KEPT = 5
+
+
+@attrs.define(kw_only=True)
+class LoadTotals:
+    """What all callers saw; the examples are answers that were not whole."""
+
+    outcomes: collections.Counter = attrs.Factory(collections.Counter)
+    versions: collections.Counter = attrs.Factory(collections.Counter)
+    seconds: list[float] = attrs.Factory(list)
+    refused_reservations: set[str] = attrs.Factory(set)
+    confirmed_reservations: set[str] = attrs.Factory(set)
+    changed_repeats: int = 0
+    examples: list[str] = attrs.Factory(list)
+
+    def figures(self) -> dict[str, int]:
+        """Return the counts of answers by their end."""
+        requests = self.outcomes.total()
+        whole = self.outcomes[Outcome.WHOLE]
+        refused = self.outcomes[Outcome.NOT_RUN]
+        mixed = self.outcomes[Outcome.MIXED_WEIGHTS]
+        return {
+            "requests": requests,
+            "whole_answers": whole,
+            "refused_not_run": refused,
+            "failed": requests - whole - refused + self.changed_repeats,
+            "mixed_weights": mixed,
+        }
+
+    def add(self, answer: Answer, what: str) -> None:
+        """Count one answer."""
+        self.outcomes[answer.outcome] += 1
+        if answer.is_whole:
+            self.seconds.append(answer.seconds)
+            self.versions[answer.model_version] += 1
+        elif len(self.examples) < EXAMPLES_KEPT:
+            self.examples.append(f"{what}: {answer.outcome.value} {answer.detail}")
+
+
+class Load:
+    """Callers of all accounts, each sending one request after the other.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        Its entry nodes receive the requests.
+    model_service, reservation_service, plain_service : str
+        Services to call; an empty name leaves a kind of request out.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        *,
+        model_service: str = "",
+        reservation_service: str = "",
+        plain_service: str = "",
+        pause_seconds: float = PAUSE_SECONDS,
+    ) -> None:
+        self._deployment = deployment
+        self._model_service = model_service
+        self._reservation_service = reservation_service
+        self._plain_service = plain_service
+        self._pause_seconds = pause_seconds
+        self._weights = {
+            model.version: model.weights().loaded_digest
+            for model in deployment.topology.models
+        }
+        self._totals = LoadTotals()
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._run, args=(index, account.name), daemon=True)
+            for index, account in enumerate(deployment.topology.accounts)
+        ]
+
+    def start(self) -> None:
+        """Start all callers."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> LoadTotals:
+        """Stop after the running requests and return what was seen."""
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join(JOIN_SECONDS)
+        unfinished = sum(thread.is_alive() for thread in self._threads)
+        if unfinished:
+            raise RuntimeError(f"{unfinished} callers have not finished")
+        return self._totals
+
+    def snapshot(self) -> dict[str, int]:
+        """Return the figures so far."""
+        with self._lock:
+            return self._totals.figures()
+
+    def _run(self, index: int, account: str) -> None:
+        caller = Caller(account=account, weights=self._weights)
+        addresses = list(self._deployment.addresses.caller.values())
+        home = addresses[index % len(addresses)]
+        keys: list[str] = []
+        for number in itertools.count():
+            if self._stopping.is_set():
+                break
+            name = f"{account}-{number}"
+            if self._model_service:
+                self._generate(caller, home, name)
+            if self._plain_service:
+                self._call(caller, home, name)
+            if self._reservation_service:
+                entries = self._entries(caller, home) if not keys else None
+                if entries is not None:
+                    keys, addresses = list(entries.keys), list(entries.addresses)
+                if keys:
+                    self._reserve(caller, addresses, keys.pop(), number, name)
+            self._stopping.wait(self._pause_seconds)
+        caller.close()
+
+    def _entries(self, caller: Caller, home: str) -> Entries | None:
+        try:
+            return caller.entries(home, self._reservation_service, KEYS_AT_ONCE)
+        except Exception as exc:
+            failed = Answer(outcome=Outcome.MAY_HAVE_RUN, detail=repr(exc))
+            self._add(failed, "entries")
+            return None
+
+    def _generate(self, caller: Caller, home: str, name: str) -> None:
+        answer = caller.generate(
+            home,
+            self._model_service,
+            prompt=f"Which lid fits the pot of {name}?",
+            max_tokens=MAX_TOKENS,
+        )
+        self._add(answer, self._model_service)
+
+    def _call(self, caller: Caller, home: str, name: str) -> None:
+        body = json.dumps({"page": name}).encode()
+        answer = caller.call(home, self._plain_service, "page", body=body)
+        self._add(answer, self._plain_service)
+
+    def _reserve(
+        self, caller: Caller, addresses: list[str], key: str, number: int, name: str
+    ) -> None:
+        body = json.dumps({"reservation": name}).encode()
+        service = self._reservation_service
+        answer = caller.call(addresses[0], service, "reserve", body=body, key=key)
+        self._add(answer, service)
+        with self._lock:
+            if answer.is_whole:
+                self._totals.confirmed_reservations.add(name)
+            elif answer.outcome is Outcome.NOT_RUN:
+                self._totals.refused_reservations.add(name)
+        if not answer.is_whole or number % REPEAT_EVERY:
+            return
+        again = caller.call(addresses[-1], service, "reserve", body=body, key=key)
+        self._add(again, f"{service} repeated")
+        if again.body != answer.body:
+            with self._lock:
+                self._totals.changed_repeats += 1
+
+    def _add(self, answer: Answer, what: str) -> None:
+        with self._lock:
+            self._totals.add(answer, what)
