--- a/packages/core/eelgrassdale/weights/transfer.py
+++ b/packages/core/eelgrassdale/weights/transfer.py
@@ -144,7 +144,9 @@
             source_times=state.source_times.observed(seconds),
         )
     failures = state.source_failures + 1
-    pause = min(SOURCE_BACKOFF_MAX_SECONDS, SOURCE_BACKOFF_SECONDS * 2 ** (failures - 1))
+    pause = min(
+        SOURCE_BACKOFF_MAX_SECONDS, SOURCE_BACKOFF_SECONDS * 2 ** (failures - 1)
+    )
     topic = f"{plan.routes.manifest}/{failures}"
     draw = rendezvous_weight(topic=topic, member=plan.me.name) / 2**64
     return evolve(
--- a/packages/standins/eelgrassdale_standins/demo.py
+++ b/packages/standins/eelgrassdale_standins/demo.py
@@ -45,7 +45,7 @@
     """Make `model` the version of the model service; return the seconds taken."""
     start = time.monotonic()
     service = deployment.configuration.current().services[LID_ASSISTANT]
-    deployment.configuration.add(
+    deployment.configuration.put(
         model.catalog_object(), attrs.evolve(service, model_version=model.version)
     )
     wait_until(
--- a/packages/standins/eelgrassdale_standins/deployment.py
+++ b/packages/standins/eelgrassdale_standins/deployment.py
@@ -92,7 +92,7 @@
             self.start_backend(agent.name, is_loaded=self.topology.is_model_loaded)
         self._await_health()
         self._publish_vms()
-        self.configuration.apply(self.topology.objects())
+        self.configuration.put(*self.topology.objects())
         for entry in self.topology.entries:
             self.start_node(entry.name)
         for agent in self.topology.agents:
