--- /dev/null
+++ b/packages/agent/eelgrassdale_agent/handler.py
@@ -0,0 +1,179 @@
+"""Thrift `AgentService` of one agent."""
+
+from typing import Protocol
+
+from eelgrassdale.clock import Clock
+from eelgrassdale.results import ResultCode
+from eelgrassdale.wire import (
+    CallRequest,
+    ChunkAnswer,
+    ChunkRequest,
+    CompareAnswer,
+    CompareRequest,
+    ConfigDelta,
+    Cursor,
+    Envelope,
+    ManifestAnswer,
+    NodeStatus,
+    PollAnswer,
+    ProbeAnswer,
+    SubmitAnswer,
+)
+from eelgrassdale_agent.gate import AdmissionGate
+from eelgrassdale_agent.intake import Intake
+from eelgrassdale_agent.pauses import PauseGuard
+from eelgrassdale_agent.streams import StreamTable
+
+
+class Runtime(Protocol):
+    """The part of `eelgrassdale.node.runtime.NodeRuntime` used here."""
+
+    def note(self, envelope: Envelope) -> None: ...
+    def probe(self, envelope: Envelope) -> ProbeAnswer: ...
+    def probe_via(self, envelope: Envelope, address: str) -> ProbeAnswer: ...
+    def compare(self, envelope: Envelope, request: CompareRequest) -> CompareAnswer: ...
+    def push(self, envelope: Envelope, delta: ConfigDelta) -> int: ...
+    def status(self, envelope: Envelope) -> NodeStatus: ...
+
+
+class Weights(Protocol):
+    """The part of `eelgrassdale_agent.transfer.WeightsTask` used here."""
+
+    def read_chunk(self, request: ChunkRequest) -> ChunkAnswer: ...
+    def read_manifest(self, manifest: str) -> ManifestAnswer: ...
+    def load_state(self) -> str: ...
+    def facts(self) -> dict[str, str]: ...
+
+
+class NoWeights:
+    """Weights of a plain service: there are none."""
+
+    def read_chunk(self, request: ChunkRequest) -> ChunkAnswer:
+        """Refuse the read."""
+        return ChunkAnswer(code=int(ResultCode.CHUNK_NOT_HELD), data=b"")
+
+    def read_manifest(self, manifest: str) -> ManifestAnswer:
+        """Refuse the read."""
+        return ManifestAnswer(code=int(ResultCode.CHUNK_NOT_HELD), manifest=b"")
+
+    def load_state(self) -> str:
+        """Return the state of a process without weights."""
+        return ""
+
+    def facts(self) -> dict[str, str]:
+        """Return nothing."""
+        return {}
+
+
+class AgentHandler:
+    """Passes each call to the part of the agent that answers it.
+
+    Parameters
+    ----------
+    runtime : Runtime
+        Configuration and membership.
+    gate, guard, intake, streams : AdmissionGate, PauseGuard, Intake, StreamTable
+        The request side of the agent.
+    weights : Weights
+        Chunks that the agent holds, and its load state.
+    incarnation : int
+        Life of the agent.
+    clock : Clock
+        Source of the monotonic time.
+    """
+
+    def __init__(
+        self,
+        *,
+        runtime: Runtime,
+        gate: AdmissionGate,
+        guard: PauseGuard,
+        intake: Intake,
+        streams: StreamTable,
+        weights: Weights,
+        incarnation: int,
+        clock: Clock,
+    ) -> None:
+        self._runtime = runtime
+        self._gate = gate
+        self._guard = guard
+        self._intake = intake
+        self._streams = streams
+        self._weights = weights
+        self._incarnation = incarnation
+        self._clock = clock
+
+    def submit(self, envelope: Envelope, request: CallRequest) -> SubmitAnswer:
+        """Admit a request or refuse it; does not wait for its answer."""
+        received = self._clock.monotonic()
+        self._runtime.note(envelope)
+        self._guard.before_admission()
+        waited_ms = int((self._clock.monotonic() - received) * 1000)
+        envelope.remaining_ms = (envelope.remaining_ms or 0) - waited_ms
+        return self._intake.submit(envelope, request)
+
+    def poll(
+        self, envelope: Envelope, cursors: list[Cursor], wait_ms: int
+    ) -> PollAnswer:
+        """Return the frames after the cursors, waiting until there is one."""
+        self._runtime.note(envelope)
+        frames = self._streams.poll(
+            cursors or [],
+            sender=envelope.sender,
+            sender_incarnation=envelope.incarnation or 0,
+            wait_seconds=(wait_ms or 0) / 1000,
+        )
+        return PollAnswer(
+            incarnation=self._incarnation, frames=frames, headroom=self._headroom()
+        )
+
+    def cancel(self, envelope: Envelope, request_id: str, attempt: int) -> None:
+        """End a request whose caller left."""
+        self._runtime.note(envelope)
+        self._streams.cancel((request_id, attempt), sender=envelope.sender)
+
+    def probe(self, envelope: Envelope) -> ProbeAnswer:
+        """Answer a health probe."""
+        answer = self._runtime.probe(envelope)
+        answer.headroom = self._headroom()
+        answer.load_state = self._weights.load_state()
+        return answer
+
+    def probe_via(self, envelope: Envelope, address: str) -> ProbeAnswer:
+        """Probe another node for the sender."""
+        return self._runtime.probe_via(envelope, address)
+
+    def compare(self, envelope: Envelope, request: CompareRequest) -> CompareAnswer:
+        """Compare configuration generations."""
+        return self._runtime.compare(envelope, request)
+
+    def push(self, envelope: Envelope, delta: ConfigDelta) -> int:
+        """Take a configuration generation."""
+        return self._runtime.push(envelope, delta)
+
+    def status(self, envelope: Envelope) -> NodeStatus:
+        """Return counters and facts."""
+        self._gate.update_gauges()
+        self._intake.update_gauges()
+        answer = self._runtime.status(envelope)
+        answer.facts = {
+            **(answer.facts or {}),
+            "load_state": self._weights.load_state(),
+            **self._weights.facts(),
+            "model_version": self._gate.model_version(),
+        }
+        return answer
+
+    def read_chunk(self, envelope: Envelope, request: ChunkRequest) -> ChunkAnswer:
+        """Return a chunk of weights to a peer."""
+        self._runtime.note(envelope)
+        return self._weights.read_chunk(request)
+
+    def read_manifest(self, envelope: Envelope, manifest: str) -> ManifestAnswer:
+        """Return a manifest to a peer."""
+        self._runtime.note(envelope)
+        return self._weights.read_manifest(manifest)
+
+    def _headroom(self) -> dict[str, object]:
+        service = self._gate.service()
+        return {service: self._gate.headroom()} if service else {}
--- /dev/null
+++ b/packages/core/eelgrassdale/admission/keys.py
@@ -0,0 +1,51 @@
+"""Whether an agent may consider an idempotency key at all."""
+
+from expression import Error, Ok, Result
+
+from eelgrassdale.admission.events import Settings
+from eelgrassdale.results import ResultCode, ResultError
+from eelgrassdale.routing.entries import IssuedKey, parse_key
+
+
+def clock_ms(settings: Settings, *, now: float) -> int:
+    """Return the agent's own wall-clock time in ms, which never steps.
+
+    Examples
+    --------
+    >>> own = Settings(agent="a", incarnation=1, wall_ms=1000, monotonic=5.0)
+    >>> clock_ms(own, now=5.25)
+    1250
+
+    """
+    return settings.wall_ms + int((now - settings.monotonic) * 1000)
+
+
+def check_key(
+    text: str, *, service: str, settings: Settings, now: float
+) -> Result[IssuedKey, ResultError]:
+    """Return the key when this agent, in this life, may still run its request.
+
+    A key of another agent or of an earlier life may have run there, and so may
+    an expired one. One that expires too far ahead is not remembered, hence not
+    refused as `not run` either: it could run later, when its expiry is nearer.
+    """
+    parsed = parse_key(text)
+    if parsed.is_error():
+        return parsed
+    key = parsed.ok
+    if key.agent != settings.agent:
+        return _refuse(ResultCode.KEY_UNREACHABLE, f"the key names {key.agent}")
+    if key.incarnation != settings.incarnation:
+        return _refuse(ResultCode.INCARNATION_GONE, "the key names another life")
+    if key.service != service:
+        return _refuse(ResultCode.KEY_MISMATCH, f"the key is for {key.service}")
+    remaining_ms = key.expires_at_ms - clock_ms(settings, now=now)
+    if remaining_ms <= 0:
+        return _refuse(ResultCode.KEY_EXPIRED, f"expired {-remaining_ms} ms ago")
+    if remaining_ms > settings.max_key_lifetime_ms:
+        return _refuse(ResultCode.KEY_TABLE_FULL, "the key expires too far ahead")
+    return Ok(key)
+
+
+def _refuse(code: ResultCode, message: str) -> Result[IssuedKey, ResultError]:
+    return Error(ResultError(code=code, message=message))
--- /dev/null
+++ b/packages/core/eelgrassdale/admission/ledger.py
@@ -0,0 +1,169 @@
+"""The table of keys that an agent has seen, bounded in count and bytes."""
+
+import heapq
+from enum import Enum
+
+from attrs import evolve, frozen
+
+from eelgrassdale.results import ResultCode
+
+
+class KeyState(Enum):
+    """What is known about the request of a key."""
+
+    NEW = "new"
+    RUNNING = "running"
+    DONE = "done"
+    REFUSED = "refused"
+
+
+@frozen(kw_only=True)
+class KeyRecord:
+    """One remembered key.
+
+    `held_bytes` is the size of the answer, or its bound while it runs.
+    `ticket` names the answer; 0 for a refused key.
+    """
+
+    state: KeyState
+    digest: str
+    expires_at_ms: int
+    code: ResultCode = ResultCode.OK
+    held_bytes: int = 0
+    ticket: int = 0
+
+
+@frozen(kw_only=True)
+class Look:
+    """What the table says about a key: its state and the code to answer."""
+
+    state: KeyState
+    code: ResultCode = ResultCode.OK
+    ticket: int = 0
+
+
+class Ledger:
+    """Remembers every key until its expiry.
+
+    Parameters
+    ----------
+    max_keys : int
+        Largest number of records.
+    max_bytes : int
+        Largest sum of the remembered answers in bytes.
+
+    Examples
+    --------
+    >>> ledger = Ledger(max_keys=1, max_bytes=100)
+    >>> ledger.look("k1", digest="d").state.value
+    'new'
+    >>> ledger.refuse("k1", digest="d", expires_at_ms=9, code=ResultCode.SERVER_BUSY)
+    >>> ledger.look("k1", digest="d").code.name
+    'KEY_REFUSED'
+    >>> ledger.look("k2", digest="d").code.name
+    'KEY_TABLE_FULL'
+    >>> ledger.drop_expired(now_ms=10)
+    []
+    >>> ledger.look("k2", digest="d").code.name
+    'OK'
+
+    """
+
+    def __init__(self, *, max_keys: int, max_bytes: int) -> None:
+        self._max_keys = max_keys
+        self._max_bytes = max_bytes
+        self._records: dict[str, KeyRecord] = {}
+        self._expiries: list[tuple[int, str]] = []
+        self._held_bytes = 0
+
+    def __len__(self) -> int:
+        """Return the number of records."""
+        return len(self._records)
+
+    @property
+    def held_bytes(self) -> int:
+        """Sum of the remembered answers and of the bounds of running ones."""
+        return self._held_bytes
+
+    def look(self, key: str, *, digest: str, answer_bytes: int = 0) -> Look:
+        """Return what to do with a key that has not expired.
+
+        `answer_bytes` is the bound of its answer if it were to run now.
+        """
+        record = self._records.get(key)
+        if record is None:
+            return self._look_new(answer_bytes)
+        if record.digest != digest:
+            return Look(state=record.state, code=ResultCode.KEY_MISMATCH)
+        if record.state is KeyState.REFUSED:
+            return Look(state=record.state, code=ResultCode.KEY_REFUSED)
+        return Look(state=record.state, ticket=record.ticket)
+
+    def start(
+        self, key: str, *, digest: str, expires_at_ms: int, ticket: int, max_bytes: int
+    ) -> None:
+        """Record that the request of a new key runs from now on."""
+        record = KeyRecord(
+            state=KeyState.RUNNING,
+            digest=digest,
+            expires_at_ms=expires_at_ms,
+            held_bytes=max_bytes,
+            ticket=ticket,
+        )
+        self._put(key, record)
+
+    def refuse(
+        self, key: str, *, digest: str, expires_at_ms: int, code: ResultCode
+    ) -> None:
+        """Record that a new key was refused and is void."""
+        record = KeyRecord(
+            state=KeyState.REFUSED,
+            digest=digest,
+            expires_at_ms=expires_at_ms,
+            code=code,
+        )
+        self._put(key, record)
+
+    def finish(self, key: str, *, code: ResultCode, held_bytes: int) -> None:
+        """Record the outcome of a running key that ran or may have run."""
+        record = self._records.get(key)
+        if record is None:
+            return
+        done = evolve(record, state=KeyState.DONE, code=code, held_bytes=held_bytes)
+        self._replace(key, record, done)
+
+    def void(self, key: str, *, code: ResultCode) -> None:
+        """Record that a key that was to run certainly did not."""
+        record = self._records.get(key)
+        if record is None:
+            return
+        refused = evolve(
+            record, state=KeyState.REFUSED, code=code, held_bytes=0, ticket=0
+        )
+        self._replace(key, record, refused)
+
+    def drop_expired(self, *, now_ms: int) -> list[int]:
+        """Drop the records past their expiry and return their tickets."""
+        tickets = []
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            _, key = heapq.heappop(self._expiries)
+            record = self._records.pop(key)
+            self._held_bytes -= record.held_bytes
+            if record.ticket:
+                tickets.append(record.ticket)
+        return tickets
+
+    def _look_new(self, answer_bytes: int) -> Look:
+        full = len(self._records) >= self._max_keys
+        if full or self._held_bytes + answer_bytes > self._max_bytes:
+            return Look(state=KeyState.NEW, code=ResultCode.KEY_TABLE_FULL)
+        return Look(state=KeyState.NEW)
+
+    def _put(self, key: str, record: KeyRecord) -> None:
+        self._records[key] = record
+        self._held_bytes += record.held_bytes
+        heapq.heappush(self._expiries, (record.expires_at_ms, key))
+
+    def _replace(self, key: str, old: KeyRecord, new: KeyRecord) -> None:
+        self._records[key] = new
+        self._held_bytes += new.held_bytes - old.held_bytes
--- /dev/null
+++ b/packages/core/eelgrassdale/admission/limit.py
@@ -0,0 +1,106 @@
+"""Slow start of the concurrency limit of one backend server."""
+
+from attrs import evolve, frozen
+
+# A load report describes the engine up to this long ago. A report that calls
+# the engine warm is not believed until this time after a fall to cold.
+REPORT_LAG_SECONDS = 2.0
+# A cold backend server that refused nobody for want of slots during this time
+# counts as warm, so that a push does not wait for traffic that never comes.
+IDLE_WARM_SECONDS = 5.0
+
+
+@frozen(kw_only=True)
+class SlowStart:
+    """The limit of concurrent requests and what it was derived from.
+
+    `epoch` counts the falls to cold; a completion of a request admitted in an
+    earlier epoch says nothing about the present one. `reported_cold` is the
+    last report of the engine, false where the backend server sends none.
+    """
+
+    cold_slots: int
+    max_slots: int
+    limit: int
+    epoch: int = 0
+    cold_since: float = 0.0
+    reported_cold: bool = False
+    last_limited: float = 0.0
+
+
+def new_slow_start(*, cold_slots: int, max_slots: int, now: float) -> SlowStart:
+    """Return the cold state.
+
+    Examples
+    --------
+    >>> new_slow_start(cold_slots=2, max_slots=8, now=0.0).limit
+    2
+
+    """
+    return SlowStart(
+        cold_slots=min(cold_slots, max_slots),
+        max_slots=max_slots,
+        limit=min(cold_slots, max_slots),
+        cold_since=now,
+        last_limited=now,
+    )
+
+
+def fall_to_cold(state: SlowStart, *, now: float) -> SlowStart:
+    """Return the state after a sign of a restart or of an emptied cache."""
+    return evolve(
+        state,
+        limit=state.cold_slots,
+        epoch=state.epoch + 1,
+        cold_since=now,
+        reported_cold=False,
+        last_limited=now,
+    )
+
+
+def is_held(state: SlowStart, *, now: float, reports: bool) -> bool:
+    """Return whether the limit must stay at the cold bound.
+
+    `reports` tells whether the backend server sends load reports at all.
+    """
+    if not reports:
+        return False
+    return state.reported_cold or now - state.cold_since < REPORT_LAG_SECONDS
+
+
+def rise(state: SlowStart, *, epoch: int, now: float, reports: bool) -> SlowStart:
+    """Return the state after one healthy completion.
+
+    Each completion adds one slot, which doubles the limit in the time that one
+    request takes.
+
+    Examples
+    --------
+    >>> cold = new_slow_start(cold_slots=2, max_slots=8, now=0.0)
+    >>> rise(cold, epoch=0, now=9.0, reports=True).limit
+    3
+    >>> rise(cold, epoch=0, now=0.1, reports=True).limit
+    2
+
+    """
+    if epoch != state.epoch or is_held(state, now=now, reports=reports):
+        return state
+    return evolve(state, limit=min(state.limit + 1, state.max_slots))
+
+
+def with_bounds(state: SlowStart, *, cold_slots: int, max_slots: int) -> SlowStart:
+    """Return the state under changed bounds of the service."""
+    cold = min(cold_slots, max_slots)
+    limit = min(max(state.limit, cold), max_slots)
+    if state.limit == state.cold_slots:
+        limit = cold
+    return evolve(state, cold_slots=cold, max_slots=max_slots, limit=limit)
+
+
+def is_warm(state: SlowStart, *, now: float, reports: bool) -> bool:
+    """Return whether the backend server takes all the load offered to it."""
+    if state.limit >= state.max_slots:
+        return True
+    if now - state.cold_since < REPORT_LAG_SECONDS and reports:
+        return False
+    return now - state.last_limited >= IDLE_WARM_SECONDS
