--- a/packages/agent/eelgrassdale_agent/gate.py
+++ b/packages/agent/eelgrassdale_agent/gate.py
@@ -47,6 +47,11 @@
         if record is not None:
             record(json.dumps(settings_record(admission.settings)))
 
+    @property
+    def settings(self) -> ev.Settings:
+        """Bounds of the tables and the identity of the agent."""
+        return self._admission.settings
+
     def apply(self, kind: type[ev.Event], **values: object) -> ev.Outcome:
         """Apply one event that happens now and return its outcome."""
         with self._lock:
--- /dev/null
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -0,0 +1,217 @@
+"""Composition of the agent: builds its parts, runs them, stops them in order."""
+
+import signal
+import sys
+import threading
+from collections.abc import Callable
+from datetime import UTC, datetime
+
+import click
+import structlog
+
+from eelgrassdale.admission import events as ev
+from eelgrassdale.admission.machine import Admission
+from eelgrassdale.identity import Role
+from eelgrassdale.node.context import NodeContext, new_context
+from eelgrassdale.node.runtime import NodeRuntime
+from eelgrassdale.results import ResultCode
+from eelgrassdale.telemetry import configure_logs
+from eelgrassdale.wire import AgentService, NodeServer
+from eelgrassdale_agent import pauses, watch
+from eelgrassdale_agent.answers import BufferBudget
+from eelgrassdale_agent.engine import EngineClient
+from eelgrassdale_agent.gate import AdmissionGate
+from eelgrassdale_agent.handler import AgentHandler, NoWeights, Weights
+from eelgrassdale_agent.intake import Intake
+from eelgrassdale_agent.pauses import PauseGuard
+from eelgrassdale_agent.plain import PlainClient
+from eelgrassdale_agent.settings import AgentSettings
+from eelgrassdale_agent.streams import StreamTable
+from eelgrassdale_agent.watch import EngineWatch
+from eelgrassdale_agent.work import Worker
+
+SWEEP_SECONDS = 0.25
+DRAIN_CHECK_SECONDS = 0.05
+EXIT_ADDRESS = 2
+
+log = structlog.get_logger(__name__)
+
+
+class Agent:
+    """All parts of one agent.
+
+    Parameters
+    ----------
+    cfg : AgentSettings
+        Settings of the process.
+    """
+
+    def __init__(self, *, cfg: AgentSettings) -> None:
+        self._cfg = cfg
+        self.context = new_context(cfg=cfg, role=Role.BACKEND)
+        self.runtime = NodeRuntime(cfg=cfg, context=self.context)
+        self.gate = self._new_gate()
+        self.engine = EngineClient(url=cfg.backend_url)
+        self.worker = self._new_worker()
+        self.weights: Weights = NoWeights()
+        self._build_request_side()
+        self.watch = EngineWatch(
+            engine=self.engine, gate=self.gate, clock=self.context.clock
+        )
+        self._stopping = threading.Event()
+        self._server = NodeServer(
+            service=AgentService, handler=self.handler, address=cfg.node_address
+        )
+
+    def start(self) -> None:
+        """Bind the node address and start all tasks.
+
+        Raises
+        ------
+        OSError
+            The address cannot be bound.
+
+        """
+        self.context.replica.subscribe(self._configure)
+        self._server.start()
+        self.runtime.start()
+        self._loop("pause-guard", self.guard.tick, pauses.TICK_SECONDS)
+        self._loop("engine-watch", self.watch.step, watch.WATCH_SECONDS)
+        self._loop("sweep", self._sweep, SWEEP_SECONDS)
+        log.info("agent started", address=self._cfg.node_address)
+
+    def stop(self) -> None:
+        """Refuse new work, let running requests end, then stop all tasks."""
+        self.gate.apply(ev.Stopping)
+        self.runtime.leave()
+        drained = self._drain()
+        log.info("agent stops", drained=drained)
+        self._stopping.set()
+        self._server.stop()
+        self.runtime.stop()
+        self.context.tracer.close()
+
+    def _drain(self) -> bool:
+        clock = self.context.clock
+        deadline = clock.monotonic() + self._cfg.drain_seconds
+        while clock.monotonic() < deadline:
+            if not self.worker.unfinished() and not self.streams.unfinished():
+                return True
+            clock.sleep(DRAIN_CHECK_SECONDS)
+        return False
+
+    def _new_gate(self) -> AdmissionGate:
+        context = self.context
+        settings = ev.Settings(
+            agent=context.identity.name,
+            incarnation=context.identity.incarnation,
+            wall_ms=int(datetime.now(UTC).timestamp() * 1000),
+            monotonic=context.clock.monotonic(),
+            max_keys=self._cfg.max_keys,
+            max_key_bytes=self._cfg.key_bytes,
+        )
+        return AdmissionGate(
+            admission=Admission(settings=settings, monitor=context.monitor),
+            clock=context.clock,
+            metrics=context.metrics,
+            record=_write_line if self._cfg.trace_admissions else None,
+        )
+
+    def _new_worker(self) -> Worker:
+        context = self.context
+        return Worker(
+            engine=self.engine,
+            plain=PlainClient(url=self._cfg.backend_url),
+            gate=self.gate,
+            clock=context.clock,
+            metrics=context.metrics,
+            tracer=context.tracer,
+        )
+
+    def _build_request_side(self) -> None:
+        context = self.context
+        settings = self.gate.settings
+        self.streams = new_streams(context, settings)
+        self.guard = PauseGuard(
+            gate=self.gate,
+            engine=self.engine,
+            is_current=self.runtime.may_serve,
+            clock=context.clock,
+            metrics=context.metrics,
+        )
+        self.intake = Intake(
+            gate=self.gate,
+            worker=self.worker,
+            streams=self.streams,
+            budget=BufferBudget(
+                max_bytes=self._cfg.buffer_bytes, max_answers=settings.max_streams
+            ),
+            kept_bytes=settings.max_answer_bytes,
+            incarnation=context.identity.incarnation,
+            clock=context.clock,
+            metrics=context.metrics,
+            monitor=context.monitor,
+        )
+        self.handler = AgentHandler(
+            runtime=self.runtime,
+            gate=self.gate,
+            guard=self.guard,
+            intake=self.intake,
+            streams=self.streams,
+            weights=self.weights,
+            incarnation=context.identity.incarnation,
+            clock=context.clock,
+        )
+
+    def _configure(self, cfg: object) -> None:
+        identity = self.context.identity
+        self.gate.configure(cfg, agent=identity.name, data_centre=identity.data_centre)
+
+    def _sweep(self) -> None:
+        self.worker.sweep()
+        self.streams.sweep()
+        self.intake.sweep()
+
+    def _loop(self, name: str, step: Callable[[], None], seconds: float) -> None:
+        def run_steps() -> None:
+            while not self._stopping.wait(seconds):
+                try:
+                    step()
+                except Exception as exc:
+                    log.error("task failed", task=name, exc_info=exc)
+
+        threading.Thread(target=run_steps, name=name, daemon=True).start()
+
+
+def new_streams(context: NodeContext, settings: ev.Settings) -> StreamTable:
+    """Return the empty stream table of an agent."""
+    return StreamTable(
+        incarnation=context.identity.incarnation,
+        clock=context.clock,
+        monitor=context.monitor,
+        max_streams=settings.max_streams,
+    )
+
+
+def run(cfg: AgentSettings) -> None:
+    """Run an agent until SIGTERM or SIGINT, then stop it gracefully."""
+    configure_logs(
+        log_format=cfg.log_format, level=cfg.log_level, node=cfg.name, program="agent"
+    )
+    stopping = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: stopping.set())
+    agent = Agent(cfg=cfg)
+    try:
+        agent.start()
+    except OSError as exc:
+        code = ResultCode.ADDRESS_UNAVAILABLE
+        click.echo(f"{int(code)} {code.name} {cfg.node_address}: {exc}", err=True)
+        sys.exit(EXIT_ADDRESS)
+    stopping.wait()
+    agent.stop()
+
+
+def _write_line(line: str) -> None:
+    sys.stdout.write(line + "\n")
+    sys.stdout.flush()
--- /dev/null
+++ b/packages/standins/eelgrassdale_standins/tests/agentlab.py
@@ -0,0 +1,191 @@
+"""One agent process for tests: its configuration, calls and streams."""
+
+import time
+
+from attrs import evolve
+
+from eelgrassdale.catalog import DataCentre, Service, ServiceKind, Vm
+from eelgrassdale.catalog.encoding import encode_object
+from eelgrassdale.hashing import digest_of
+from eelgrassdale.routing.entries import IssuedKey, format_key
+from eelgrassdale.spread.replica import head_digest_of
+from eelgrassdale.wire import (
+    CallRequest,
+    ConfigDelta,
+    ConfigObject,
+    Cursor,
+    Envelope,
+    NodeConnection,
+)
+from eelgrassdale_standins.control import url_of
+from eelgrassdale_standins.processes import (
+    Command,
+    Process,
+    program_arguments,
+    wait_until,
+)
+
+NAME = "vm-a"
+PLACE = "xela"
+CALL_SECONDS = 10.0
+UNUSED_URL = "http://127.0.0.1:9"
+
+MODEL = Service(
+    name="drafting",
+    kind=ServiceKind.MODEL,
+    model_version="v1",
+    cold_slots=2,
+    max_slots=8,
+)
+DESK = Service(
+    name="desk", kind=ServiceKind.PLAIN, idempotent=False, cold_slots=2, max_slots=4
+)
+
+
+class AgentLab:
+    """An agent process beside a stand-in.
+
+    Parameters
+    ----------
+    address : str
+        Node address of the agent.
+    backend : str
+        Address of the stand-in of its backend server.
+    log : Path
+        Log of the process.
+    service : Service
+        What the agent serves.
+    """
+
+    def __init__(self, *, address, backend, log, service):
+        self.address = address
+        self.service = service
+        self.generation = 0
+        options = {
+            "--name": NAME,
+            "--data-centre": PLACE,
+            "--region": "occidente",
+            "--node-address": address,
+            "--backend-url": url_of(backend),
+            "--object-api-url": UNUSED_URL,
+            "--vm-list-url": UNUSED_URL,
+        }
+        flat = [part for pair in options.items() for part in pair]
+        arguments = program_arguments("eelgrassdale-agent", flat)
+        self.process = Process(Command(name="agent", arguments=arguments, log=log))
+        self.conn = NodeConnection(address=address)
+        wait_until(self._answers, seconds=20, what="probe of the agent")
+
+    def call(self, name, *arguments, remaining_ms=20_000, sender="entry-1"):
+        """Call the agent as an entry node."""
+        envelope = Envelope(
+            sender=sender,
+            incarnation=1,
+            remaining_ms=remaining_ms,
+            traceparent="",
+            generation=self.generation,
+        )
+        return self.conn.call(name, envelope, *arguments, timeout_seconds=CALL_SECONDS)
+
+    def configure(self, *, place=None, vm=None):
+        """Bring a configuration with the agent's service into force."""
+        self.generation += 1
+        place = place or DataCentre(name=PLACE, region="occidente")
+        vm = vm or Vm(name=NAME, data_centre=PLACE, service=self.service.name)
+        found = [encode_object(obj) for obj in (place, vm, self.service)]
+        changed = [
+            ConfigObject(name=obj.name, digest=digest_of(obj.body), body=obj.body)
+            for obj in found
+        ]
+        digests = {obj.name: obj.digest for obj in changed}
+        delta = ConfigDelta(
+            base=0,
+            generation=self.generation,
+            head_digest=head_digest_of(digests),
+            changed=changed,
+            removed=[],
+            members_version=0,
+            members=b"",
+        )
+        assert self.call("push", delta) == self.generation
+
+    def headroom(self):
+        """Return the headroom of the agent's service."""
+        return self.call("probe").headroom[self.service.name]
+
+    def wait_accepting(self):
+        """Wait until the agent accepts requests."""
+        wait_until(lambda: self.headroom().accepting, seconds=10, what="agent accepts")
+
+    def request(self, request_id, **values):
+        """Return a request to the agent's service."""
+        base = CallRequest(
+            request_id=request_id,
+            attempt=1,
+            service_name=self.service.name,
+            account="brand",
+            priority=1,
+            method="POST",
+            path="/reserve",
+            headers={},
+            body=b'{"prompt": "draft a letter", "max_tokens": 20}',
+            prompt_tokens=4,
+            max_tokens=20,
+            idempotent=self.service.idempotent,
+            key="",
+            model_version="",
+            resume_offset=0,
+            window_bytes=65536,
+            resume_text="",
+        )
+        for name, value in values.items():
+            setattr(base, name, value)
+        return base
+
+    def key(self, *, nonce="n1", lifetime_seconds=60):
+        """Return a key issued for this life of the agent."""
+        return format_key(
+            IssuedKey(
+                service=self.service.name,
+                agent=NAME,
+                incarnation=self.call("probe").incarnation,
+                expires_at_ms=int((time.time() + lifetime_seconds) * 1000),
+                nonce=nonce,
+            )
+        )
+
+    def read(self, request_id, *, offset=0, seconds=20.0, sender="entry-1"):
+        """Return the whole answer of a stream and its last frame."""
+        data = b""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            cursor = Cursor(
+                request_id=request_id,
+                attempt=1,
+                offset=offset + len(data),
+                window_bytes=65536,
+            )
+            answer = self.call("poll", [cursor], 1000, sender=sender)
+            for frame in answer.frames:
+                assert frame.offset == offset + len(data)
+                data += frame.data
+                if frame.is_last:
+                    return data, frame
+        raise AssertionError(f"no end of {request_id} within {seconds} s")
+
+    def close(self):
+        """End the process."""
+        self.conn.close()
+        self.process.resume()
+        self.process.kill()
+
+    def _answers(self):
+        try:
+            return bool(self.call("probe").incarnation)
+        except Exception:
+            return False
+
+
+def out_of_service(place):
+    """Return the data centre taken out of service."""
+    return evolve(DataCentre(name=place, region="occidente"), state="out")
