Add the weights task: fetch, verify, stage, serve and load

Each agent draws its balanced share from its feed (source, another data centre or another region) and the rest from peers, which answer from a bounded store and wait in bounded number. ChunkAnswer and ManifestAnswer get the additive field held, a bit mask of the chunks that the answering agent has, so that a busy or failed owner can be replaced by a holder without asking around.

--- a/packages/agent/eelgrassdale_agent/orders.py
+++ b/packages/agent/eelgrassdale_agent/orders.py
@@ -87,6 +87,17 @@
             return _failed(ResultCode.BACKEND_FAILED, f"status {resp.status}")
         return Ok(resp.data)
 
+    def staged_indices(self, manifest: str) -> Result[set[int] | None, ResultError]:
+        """Return the indices of the staged chunks, None if the engine cannot tell."""
+        try:
+            resp = self._request("GET", f"/weights/{manifest}", seconds=STATE_SECONDS)
+            fields = json.loads(resp.data) if resp.status == 200 else {}
+            return Ok({int(index) for index in fields["chunks"]})
+        except urllib3.exceptions.HTTPError as exc:
+            return _failed(ResultCode.BACKEND_FAILED, repr(exc))
+        except (KeyError, TypeError, ValueError):
+            return Ok(None)
+
     def order_load(
         self, *, model_version: str, manifest: str, fencing: int
     ) -> Result[None, ResultError]:
--- /dev/null
+++ b/packages/agent/eelgrassdale_agent/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the agent."""
--- a/packages/agent/eelgrassdale_agent/transfer_pacing.py
+++ b/packages/agent/eelgrassdale_agent/transfer_pacing.py
@@ -32,9 +32,7 @@
         self._clock = clock
         self._share = share
         self._cond = threading.Condition()
-        self._bucket = TokenBucket(
-            rate=bytes_per_second, updated_at=clock.monotonic()
-        )
+        self._bucket = TokenBucket(rate=bytes_per_second, updated_at=clock.monotonic())
         self._waiting: dict[int, Waiting] = {}
         self._passed: dict[str, int] = {}
         self._count = 0
--- /dev/null
+++ b/packages/agent/eelgrassdale_agent/transfer_run.py
@@ -0,0 +1,220 @@
+"""One transfer of a model version into the engine's staging memory."""
+
+from collections.abc import Callable
+
+import structlog
+from attrs import evolve, frozen
+
+from eelgrassdale.node.context import NodeContext
+from eelgrassdale.results import ResultCode
+from eelgrassdale.weights.holders import ChunkTimes, Holder
+from eelgrassdale.weights.routes import SOURCE
+from eelgrassdale.weights.selection import choose
+from eelgrassdale.weights.transfer import (
+    Fetch,
+    Plan,
+    TransferState,
+    finished,
+    is_complete,
+    plan_of,
+    started,
+)
+from eelgrassdale_agent.transfer_lanes import LaneOrder, LanePool, LaneResult
+from eelgrassdale_agent.transfer_pacing import PacedLink
+from eelgrassdale_agent.transfer_store import ChunkStore
+from eelgrassdale_agent.transfer_target import Target, routes_of, unavailable
+
+TICK_SECONDS = 0.05
+ENGINE_RETRY_SECONDS = 0.5
+# Chunk reads that a holder may have queued before this one.
+EXPECTED_QUEUE = 4
+
+log = structlog.get_logger(__name__)
+
+
+@frozen(kw_only=True)
+class RunSettings:
+    """Settings of a transfer; rates in bytes per second, 0 for no limit."""
+
+    origin_region: str
+    link_bytes_per_second: float
+
+
+class TransferRun:
+    """Gives reads to the lanes until the set is complete or the target changes.
+
+    Parameters
+    ----------
+    number : int
+        Number of this run; results of earlier runs are ignored.
+    context : NodeContext
+        Clock, configuration, members and telemetry.
+    cfg : RunSettings
+        Settings.
+    target : Target
+        What to fetch.
+    store : ChunkStore
+        Receives the chunks.
+    lanes : LanePool
+        Threads that carry out the reads.
+    region_link : callable
+        Returns the paced link to a region.
+    current_target : callable
+        Returns the target that is configured now.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        context: NodeContext,
+        cfg: RunSettings,
+        target: Target,
+        store: ChunkStore,
+        lanes: LanePool,
+        region_link: Callable[[str], PacedLink],
+        current_target: Callable[[], Target | None],
+    ) -> None:
+        self._number = number
+        self._context = context
+        self._cfg = cfg
+        self._target = target
+        self._store = store
+        self._lanes = lanes
+        self._region_link = region_link
+        self._current_target = current_target
+        self._engine_retry_at = 0.0
+        self._region = {place.name: place.region for place in target.agents}
+        self._plan = self._new_plan()
+        self.blocked_by = ""
+        times = self._expected_times()
+        self._state = TransferState(
+            held=store.held, started_at=context.clock.monotonic(), times=times
+        )
+
+    @property
+    def held(self) -> int:
+        """Bit mask of the chunks held."""
+        return self._state.held
+
+    def peer_has(self, name: str, mask: int) -> None:
+        """Take note of the chunks that a peer said it has."""
+        holders = {**self._state.holders, name: Holder(held=mask)}
+        self._state = evolve(self._state, holders=holders)
+
+    def run(self, is_stopping: Callable[[], bool]) -> ResultCode:
+        """Transfer until complete; `VERSION_CHANGED` ends it early."""
+        while not is_stopping():
+            if not self._follow_configuration():
+                return ResultCode.VERSION_CHANGED
+            if is_complete(self._plan, self._state):
+                self._check_complete()
+                return ResultCode.OK
+            self._dispatch()
+            for result in self._lanes.collect(TICK_SECONDS):
+                if self._apply(result) is ResultCode.VERSION_CHANGED:
+                    return ResultCode.VERSION_CHANGED
+        return ResultCode.VERSION_CHANGED
+
+    def _follow_configuration(self) -> bool:
+        target = self._current_target()
+        if target is None or not self._target.is_same_version(target):
+            return False
+        if not target.is_in_service:
+            self.blocked_by = "out of service"
+            return False
+        if target.agents != self._target.agents:
+            self._target = target
+            self._region = {place.name: place.region for place in target.agents}
+            self._plan = self._new_plan()
+        gone = unavailable(self._target, self._context.members.current())
+        if gone != self._state.unavailable:
+            self._state = evolve(self._state, unavailable=gone)
+        return True
+
+    def _new_plan(self) -> Plan:
+        routes = routes_of(
+            self._target, self._store.manifest.count, self._cfg.origin_region
+        )
+        return plan_of(routes, self._target.me)
+
+    def _expected_times(self) -> ChunkTimes:
+        rate = self._cfg.link_bytes_per_second
+        if rate <= 0:
+            return ChunkTimes()
+        mean = EXPECTED_QUEUE * self._store.manifest.chunk_bytes / rate
+        return ChunkTimes(mean=mean, deviation=mean / 2)
+
+    def _dispatch(self) -> None:
+        now = self._context.clock.monotonic()
+        if now < self._engine_retry_at:
+            return
+        while self._lanes.has_idle():
+            fetch = choose(self._plan, self._state, now)
+            if fetch is None:
+                return
+            address, region = self._address_of(fetch.holder)
+            if fetch.holder != SOURCE and not address:
+                gone = self._state.unavailable | {fetch.holder}
+                self._state = evolve(self._state, unavailable=gone)
+                continue
+            self._state = started(self._state, fetch, now)
+            self._lanes.give(self._order(fetch, address, region))
+
+    def _order(self, fetch: Fetch, address: str, region: str) -> LaneOrder:
+        is_remote = fetch.holder != SOURCE and region != self._target.me.region
+        return LaneOrder(
+            run=self._number,
+            fetch=fetch,
+            store=self._store,
+            address=address,
+            priority=self._target.model.priority,
+            region_link=self._region_link(region) if is_remote else None,
+        )
+
+    def _address_of(self, name: str) -> tuple[str, str]:
+        member = self._context.members.current().by_name.get(name)
+        address = member.node_address if member else ""
+        return address, self._region.get(name, "")
+
+    def _apply(self, result: LaneResult) -> ResultCode:
+        if result.run != self._number:
+            return ResultCode.OK
+        now = self._context.clock.monotonic()
+        self._state = finished(
+            self._plan,
+            self._state,
+            result.fetch,
+            result.code,
+            now,
+            holder_has=result.holder_has,
+        )
+        if result.code is ResultCode.OK:
+            self.blocked_by = ""
+            return result.code
+        self._note_failure(result, now)
+        return result.code
+
+    def _note_failure(self, result: LaneResult, now: float) -> None:
+        holder = result.fetch.holder or "weight source"
+        if result.code is ResultCode.BACKEND_FAILED:
+            self._engine_retry_at = now + ENGINE_RETRY_SECONDS
+            self.blocked_by = "engine"
+        elif result.code not in (ResultCode.HOLDER_BUSY, ResultCode.CHUNK_NOT_HELD):
+            self.blocked_by = f"{holder}: {result.code.name}"
+            log.warning(
+                "chunk read failed",
+                index=result.fetch.index,
+                holder=holder,
+                code=result.code.name,
+                detail=result.detail,
+            )
+
+    def _check_complete(self) -> None:
+        count = self._store.manifest.count
+        self._context.monitor.check(
+            self._store.held == (1 << count) - 1,
+            "transferred_set_is_complete",
+            held=self._store.held.bit_count(),
+            total=count,
+        )
--- /dev/null
+++ b/packages/agent/eelgrassdale_agent/transfer_target.py
@@ -0,0 +1,119 @@
+"""What the configuration wants this agent's engine to have loaded."""
+
+from collections.abc import Mapping
+
+from attrs import frozen
+
+from eelgrassdale.catalog import Configuration, ModelVersion, Service, Vm, VmState
+from eelgrassdale.membership.members import Members, MemberState
+from eelgrassdale.weights.routes import Place, Routes
+
+
+@frozen(kw_only=True)
+class Target:
+    """The model version for one agent and the agents that want the same.
+
+    `is_in_service` is false while operators have the VM or its data centre
+    out of service; such an agent waits and fetches when it returns.
+    """
+
+    service: Service
+    model: ModelVersion
+    me: Place
+    agents: frozenset[Place]
+    is_in_service: bool
+
+    @property
+    def backend_servers(self) -> tuple[str, ...]:
+        """Names of the backend servers in service, this one included."""
+        return tuple(sorted(place.name for place in self.agents | {self.me}))
+
+    def is_same_version(self, other: "Target | None") -> bool:
+        """Return whether both name the same weights under the same name."""
+        return other is not None and (self.model.name, self.model.manifest) == (
+            other.model.name,
+            other.model.manifest,
+        )
+
+
+def target_of(cfg: Configuration, name: str) -> Target | None:
+    """Return the target of the agent `name`, None if it has none.
+
+    A plain service, an unknown VM and a service without a model version have
+    no target.
+    """
+    vm = cfg.vms.get(name)
+    service = cfg.services.get(vm.service) if vm else None
+    model = cfg.model_versions.get(service.model_version) if service else None
+    if vm is None or service is None or model is None:
+        return None
+    in_service = [
+        other
+        for other in cfg.backend_servers_of(service.name)
+        if _is_in_service(cfg, other)
+    ]
+    return Target(
+        service=service,
+        model=model,
+        me=_place_of(cfg, vm),
+        agents=frozenset(_place_of(cfg, other) for other in in_service),
+        is_in_service=vm in in_service,
+    )
+
+
+def routes_of(target: Target, count: int, origin_region: str) -> Routes:
+    """Return the routes of the target's chunks."""
+    return Routes(
+        manifest=target.model.manifest,
+        count=count,
+        agents=target.agents,
+        origin_region=origin_region,
+    )
+
+
+def unavailable(target: Target, members: Members) -> frozenset[str]:
+    """Return the agents that are unknown, dead or leaving."""
+    return frozenset(
+        place.name
+        for place in target.agents
+        if place != target.me and not _is_reachable(members, place.name)
+    )
+
+
+def other_priorities(cfg: Configuration, target: Target) -> Mapping[str, int]:
+    """Return the priorities of the other configured models in the same regions.
+
+    Agents of other services may be fetching these; an agent cannot see
+    whether they do.
+    """
+    regions = {place.region for place in target.agents}
+    found = {}
+    for service in cfg.services.values():
+        model = cfg.model_versions.get(service.model_version)
+        if model is None or model.name == target.model.name:
+            continue
+        places = [_place_of(cfg, vm) for vm in cfg.backend_servers_of(service.name)]
+        if any(place.region in regions for place in places):
+            found[model.name] = model.priority
+    return found
+
+
+def _is_in_service(cfg: Configuration, vm: Vm) -> bool:
+    return vm.state is VmState.IN_SERVICE and cfg.is_in_service(vm.data_centre)
+
+
+def _is_reachable(members: Members, name: str) -> bool:
+    member = members.by_name.get(name)
+    return member is not None and member.state in (
+        MemberState.ALIVE,
+        MemberState.SUSPECT,
+    )
+
+
+def _place_of(cfg: Configuration, vm: Vm) -> Place:
+    data_centre = cfg.data_centres.get(vm.data_centre)
+    return Place(
+        name=vm.name,
+        data_centre=vm.data_centre,
+        region=data_centre.region if data_centre else vm.data_centre,
+    )
--- a/packages/core/eelgrassdale/platform/weightsource.py
+++ b/packages/core/eelgrassdale/platform/weightsource.py
@@ -30,7 +30,7 @@
             num_pools=1,
             maxsize=connections,
             retries=False,
-            timeout=urllib3.Timeout(connect=CONNECT_SECONDS, read=READ_SECONDS),
+            timeout=_timeout(READ_SECONDS),
         )
 
     def manifest(self, version: str) -> Result[bytes, ResultError]:
@@ -48,7 +48,7 @@
         return Ok(resp.data)
 
     def read(
-        self, *, version: str, manifest: str, start: int, end: int
+        self, *, version: str, manifest: str, start: int, end: int, seconds: float
     ) -> Result[bytes, ResultError]:
         """Return the bytes from `start` to before `end`, not yet verified.
 
@@ -60,6 +60,8 @@
             Required manifest digest, sent as a precondition.
         start, end : int
             Byte range of the weights.
+        seconds : float
+            Longest time without a byte.
 
         Returns
         -------
@@ -71,7 +73,9 @@
         headers = {"Range": f"bytes={start}-{end - 1}", "If-Match": f'"{manifest}"'}
         url = f"{self.url}/models/{version}/weights"
         try:
-            resp = self._pool.request("GET", url, headers=headers)
+            resp = self._pool.request(
+                "GET", url, headers=headers, timeout=_timeout(seconds)
+            )
         except urllib3.exceptions.HTTPError as exc:
             return _unavailable(f"{self.url}: {exc!r}")
         if resp.status == PRECONDITION_FAILED:
@@ -89,5 +93,9 @@
         self._pool.clear()
 
 
+def _timeout(seconds: float) -> urllib3.Timeout:
+    return urllib3.Timeout(connect=CONNECT_SECONDS, read=seconds)
+
+
 def _unavailable(message: str) -> Result:
     return Error(ResultError(code=ResultCode.SOURCE_UNAVAILABLE, message=message))
--- a/packages/core/eelgrassdale/weights/selection.py
+++ b/packages/core/eelgrassdale/weights/selection.py
@@ -45,7 +45,7 @@
 
 def _feed(plan: Plan, state: TransferState, missing: int, now: float) -> Fetch | None:
     """Return a read that brings a chunk into the data centre."""
-    skipped = skipped_names(state.holders, now)
+    skipped = skipped_names(state.holders, now) | state.unavailable
     for index in _my_chunks(plan, state, missing, skipped, now):
         holder = feed_of(plan.routes, plan.me, index, skipped)
         known = _local_holder(plan, state, index, now)
@@ -59,9 +59,7 @@
                 )
             continue
         if _may_ask(state, holder, now):
-            return _read(
-                state, index, holder, wait=WAIT_AT_OWNER_SECONDS, is_feed=True
-            )
+            return _read(state, index, holder, wait=WAIT_AT_OWNER_SECONDS, is_feed=True)
     return None
 
 
@@ -102,9 +100,7 @@
             yield index
 
 
-def _is_impatient(
-    plan: Plan, state: TransferState, index: int, waited: float
-) -> bool:
+def _is_impatient(plan: Plan, state: TransferState, index: int, waited: float) -> bool:
     order = owner_order(plan.routes, plan.me.data_centre, index)
     rank = order.index(plan.me.name) if plan.me.name in order else len(order)
     patience = max(MIN_PATIENCE_SECONDS, PATIENCE_CHUNK_TIMES * state.times.upper)
@@ -176,6 +172,8 @@
 
 
 def _may_ask(state: TransferState, name: str, now: float) -> bool:
+    if name in state.unavailable:
+        return False
     holder = state.holders.get(name)
     if holder is None:
         return True
--- a/packages/core/eelgrassdale/weights/transfer.py
+++ b/packages/core/eelgrassdale/weights/transfer.py
@@ -50,6 +50,7 @@
 class TransferState:
     """Progress of one transfer; bit masks have one bit for each chunk.
 
+    `unavailable` names the agents that membership holds for dead or leaving.
     `absent_since` maps a chunk to the time when its owner first did not have
     it. `source_reads` counts reads from the source that delivered a chunk.
     """
@@ -57,6 +58,7 @@
     held: int = 0
     flights: Mapping[Fetch, float] = Factory(dict)
     holders: Mapping[str, Holder] = Factory(dict)
+    unavailable: frozenset[str] = frozenset()
     times: ChunkTimes = Factory(ChunkTimes)
     source_times: ChunkTimes = Factory(ChunkTimes)
     absent_since: Mapping[int, float] = Factory(dict)
@@ -144,7 +146,9 @@
             source_times=state.source_times.observed(seconds),
         )
     failures = state.source_failures + 1
-    pause = min(SOURCE_BACKOFF_MAX_SECONDS, SOURCE_BACKOFF_SECONDS * 2 ** (failures - 1))
+    pause = min(
+        SOURCE_BACKOFF_MAX_SECONDS, SOURCE_BACKOFF_SECONDS * 2 ** (failures - 1)
+    )
     topic = f"{plan.routes.manifest}/{failures}"
     draw = rendezvous_weight(topic=topic, member=plan.me.name) / 2**64
     return evolve(
--- a/packages/core/eelgrassdale/wire/nodes.thrift
+++ b/packages/core/eelgrassdale/wire/nodes.thrift
@@ -130,11 +130,13 @@
   2: i64 incarnation,
   3: binary data,
   4: string detail,
+  5: binary held,           // little-endian bit mask of the chunks held
 }
 
 struct ManifestAnswer {
   1: i32 code,
   2: binary manifest,
+  3: binary held,           // little-endian bit mask of the chunks held
 }
 
 struct NodeStatus {
