--- a/packages/agent/eelgrassdale_agent/tests/weights_fleet.py
+++ b/packages/agent/eelgrassdale_agent/tests/weights_fleet.py
@@ -71,7 +71,9 @@
         self._server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
         self._server.daemon_threads = True
         self.url = f"http://127.0.0.1:{self._server.server_address[1]}"
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        threading.Thread(
+            target=self._server.serve_forever, args=(0.02,), daemon=True
+        ).start()
 
     def stop(self) -> None:
         """Stop serving."""
@@ -278,13 +280,13 @@
             name=self.name, headroom={SERVICE: headroom}, load_state=self.state()
         )
 
-    def read_chunk(self, envelope, request):
+    def read_chunk(self, _envelope, request):
         """Pass the read to the task."""
-        return self.task.read_chunk(envelope, request)
+        return self.task.read_chunk(request)
 
-    def read_manifest(self, envelope, manifest):
+    def read_manifest(self, _envelope, manifest):
         """Pass the read to the task."""
-        return self.task.read_manifest(envelope, manifest)
+        return self.task.read_manifest(manifest)
 
     def state(self) -> str:
         """Return the load state."""
--- a/packages/agent/eelgrassdale_agent/transfer.py
+++ b/packages/agent/eelgrassdale_agent/transfer.py
@@ -12,7 +12,7 @@
 from eelgrassdale.weights.loading import LoadState
 from eelgrassdale.weights.pacing import region_rate
 from eelgrassdale.weights.selection import FEED_LANES, PEER_LANES
-from eelgrassdale.wire import ChunkAnswer, ChunkRequest, Envelope, ManifestAnswer
+from eelgrassdale.wire import ChunkAnswer, ChunkRequest, ManifestAnswer
 from eelgrassdale_agent.loading import LOADS, Gate, Loader, LoadHooks
 from eelgrassdale_agent.orders import EngineState, OrderClient
 from eelgrassdale_agent.sources import ChunkReader
@@ -156,11 +156,11 @@
         if self._thread.is_alive():
             self._thread.join(timeout=RETRY_SECONDS)
 
-    def read_chunk(self, envelope: Envelope, request: ChunkRequest) -> ChunkAnswer:
+    def read_chunk(self, request: ChunkRequest) -> ChunkAnswer:
         """Answer a peer that reads a chunk."""
         return self._serving.read_chunk(request)
 
-    def read_manifest(self, envelope: Envelope, manifest: str) -> ManifestAnswer:
+    def read_manifest(self, manifest: str) -> ManifestAnswer:
         """Answer a peer that reads a manifest."""
         return self._serving.read_manifest(manifest)
 
