Split the backend server's state from the admission decisions

Limit, load report and model version move to admission/backend.py. An admitted attempt is never dropped early: a full table refuses new attempts, and a pause extends what is remembered. A loaded version counts only for the service it was loaded for.

--- a/packages/agent/eelgrassdale_agent/gate.py
+++ b/packages/agent/eelgrassdale_agent/gate.py
@@ -84,17 +84,17 @@
     def is_warm(self) -> bool:
         """Return whether the backend server takes all the load offered to it."""
         with self._lock:
-            return self._admission.is_warm(now=self._clock.monotonic())
+            return self._admission.backend.is_warm(now=self._clock.monotonic())
 
     def is_model(self) -> bool:
         """Return whether the service of this agent is a model service."""
         with self._lock:
-            return self._admission.is_model
+            return self._admission.backend.is_model
 
     def service(self) -> str:
         """Return the service of this agent, or empty."""
         with self._lock:
-            return self._admission.service
+            return self._admission.backend.service
 
     def is_suspended(self) -> bool:
         """Return whether a pause was seen and not yet checked."""
@@ -104,12 +104,12 @@
     def model_version(self) -> str:
         """Return the loaded model version, or empty."""
         with self._lock:
-            return self._admission.model_version
+            return self._admission.backend.version
 
     def engine_incarnation(self) -> str:
         """Return the engine's incarnation in its last report, or empty."""
         with self._lock:
-            return self._admission.engine_incarnation
+            return self._admission.backend.incarnation
 
     def take_expired(self) -> list[int]:
         """Return the tickets whose keys expired since the last call."""
--- /dev/null
+++ b/packages/core/eelgrassdale/admission/backend.py
@@ -0,0 +1,140 @@
+"""What an agent knows about its backend server: limit, report and version."""
+
+from attrs import evolve
+
+from eelgrassdale.admission import events as ev
+from eelgrassdale.admission.limit import (
+    SlowStart,
+    fall_to_cold,
+    is_warm,
+    new_slow_start,
+    rise,
+    with_bounds,
+)
+from eelgrassdale.admission.load import Use, foreign_use
+
+# Model versions of earlier configurations that an engine may still hold.
+REMEMBERED_VERSIONS = 8
+
+
+class BackendState:
+    """State of one backend server, changed by events only.
+
+    Parameters
+    ----------
+    now : float
+        Monotonic time in seconds.
+    """
+
+    def __init__(self, *, now: float) -> None:
+        self.bounds: ev.Bounds | None = None
+        self.slow: SlowStart = new_slow_start(cold_slots=1, max_slots=1, now=now)
+        self.report: ev.EngineReported | None = None
+        self.version = ""
+        self.is_loading = False
+        self._services: dict[str, str] = {}
+
+    @property
+    def is_model(self) -> bool:
+        """Whether the backend server is a model engine, which reports its load."""
+        return self.bounds is not None and self.bounds.model
+
+    @property
+    def service(self) -> str:
+        """Service of the backend server, or empty."""
+        return self.bounds.service if self.bounds is not None else ""
+
+    @property
+    def incarnation(self) -> str:
+        """Incarnation of the engine in its last report, or empty."""
+        return self.report.incarnation if self.report else ""
+
+    @property
+    def memory_bound(self) -> int:
+        """Bound of the memory of all requests in bytes."""
+        if self.bounds is None:
+            return 0
+        reported = self.report.memory_limit if self.report else 0
+        if not self.is_model or reported <= 0:
+            return self.bounds.memory_bytes
+        return min(self.bounds.memory_bytes, reported)
+
+    def is_serving(self) -> bool:
+        """Return whether requests can run: not loading, a known model version.
+
+        A version counts only for the service that it was loaded for, because
+        the VM can be given to another service before the engine loads again.
+        """
+        if self.is_loading or self.bounds is None:
+            return False
+        return not self.is_model or self._services.get(self.version) == self.service
+
+    def is_warm(self, *, now: float) -> bool:
+        """Return whether the backend server takes all the load offered to it."""
+        return is_warm(self.slow, now=now, reports=self.is_model)
+
+    def foreign(self, *, peak: Use) -> Use:
+        """Return the reported load that the agent did not send."""
+        return foreign_use(self.report, peak=peak)
+
+    def configure(self, bounds: ev.Bounds | None, *, now: float) -> None:
+        """Take the bounds of the service in force."""
+        old, self.bounds = self.bounds, bounds
+        if bounds is None:
+            return
+        slots = {"cold_slots": bounds.cold_slots, "max_slots": bounds.max_slots}
+        if old is None or old.service != bounds.service:
+            self.slow = new_slow_start(**slots, now=now)
+        else:
+            self.slow = with_bounds(self.slow, **slots)
+        self._note_version()
+
+    def take_report(self, report: ev.EngineReported) -> None:
+        """Take a load report and fall to cold at a sign of a restart."""
+        last = self.report
+        restarted = last is not None and report.incarnation != last.incarnation
+        backwards = last is not None and report.sequence < last.sequence
+        if restarted or backwards:
+            self.fall(now=report.now)
+        if restarted:
+            self.version = ""
+        self.report = report
+        self.slow = evolve(self.slow, reported_cold=report.cold)
+        if not self.version and not self.is_loading:
+            self.version = report.model_version
+            self._note_version()
+
+    def fall(self, *, now: float) -> None:
+        """Fall to the cold bound."""
+        self.slow = fall_to_cold(self.slow, now=now)
+
+    def rise(self, *, epoch: int, now: float) -> None:
+        """Count a healthy completion of a request admitted in `epoch`."""
+        self.slow = rise(self.slow, epoch=epoch, now=now, reports=self.is_model)
+
+    def note_limited(self, *, now: float) -> None:
+        """Note that a request was refused for want of slots."""
+        self.slow = evolve(self.slow, last_limited=now)
+
+    def forget_version(self, *, now: float) -> None:
+        """Forget the loaded version after the engine answered from another."""
+        self.version = ""
+        self.fall(now=now)
+
+    def loaded(self, version: str, *, now: float) -> None:
+        """Take a version that was loaded for the present service."""
+        self.is_loading = False
+        self.version = version
+        if version and self.bounds is not None:
+            self._remember(version)
+        self.fall(now=now)
+
+    def _note_version(self) -> None:
+        if self.bounds and self.version and self.version == self.bounds.model_version:
+            self._remember(self.version)
+
+    def _remember(self, version: str) -> None:
+        self._services.pop(version, None)
+        self._services[version] = self.service
+        if len(self._services) > REMEMBERED_VERSIONS:
+            del self._services[next(iter(self._services))]
--- a/packages/core/eelgrassdale/admission/events.py
+++ b/packages/core/eelgrassdale/admission/events.py
@@ -26,6 +26,7 @@
     max_answer_bytes: int = 1024 * 1024
     max_key_lifetime_ms: int = 600_000
     max_streams: int = 1024
+    max_attempts: int = 16_384
     remember_seconds: float = 60.0
 
 
--- a/packages/core/eelgrassdale/admission/recent.py
+++ b/packages/core/eelgrassdale/admission/recent.py
@@ -1,7 +1,5 @@
 """The attempts seen lately, so that a duplicate submit gets the same outcome."""
 
-from collections import OrderedDict
-
 from eelgrassdale.admission.events import Outcome
 
 Attempt = tuple[str, int]
@@ -10,44 +8,68 @@
 class RecentAttempts:
     """Outcomes by request id and attempt, for a set time.
 
+    An admitted attempt is never forgotten early: when there are too many, the
+    caller has to refuse new ones. Of the refused ones the oldest are dropped.
+
     Parameters
     ----------
     max_attempts : int
-        Above this number the oldest refusals are forgotten first.
+        Bound of the admitted attempts, and of the refused ones.
     seconds : float
         How long an outcome is remembered.
 
     Examples
     --------
-    >>> recent = RecentAttempts(max_attempts=2, seconds=60.0)
+    >>> recent = RecentAttempts(max_attempts=1, seconds=60.0)
     >>> recent.add(("r", 1), Outcome(ticket=5, run=True), now=0.0)
     >>> recent.find(("r", 1), now=59.0).ticket
     5
-    >>> recent.find(("r", 1), now=61.0) is None
-    True
+    >>> recent.is_full(now=59.0), recent.is_full(now=61.0)
+    (True, False)
 
     """
 
     def __init__(self, *, max_attempts: int, seconds: float) -> None:
         self._max_attempts = max_attempts
         self._seconds = seconds
-        self._seen: OrderedDict[Attempt, tuple[float, Outcome]] = OrderedDict()
+        self._paused = 0.0
+        self._admitted: dict[Attempt, tuple[float, Outcome]] = {}
+        self._refused: dict[Attempt, tuple[float, Outcome]] = {}
 
     def find(self, attempt: Attempt, *, now: float) -> Outcome | None:
         """Return the outcome of an attempt, or None for a new one."""
         self._forget(now)
-        found = self._seen.get(attempt)
+        found = self._admitted.get(attempt) or self._refused.get(attempt)
         return found[1] if found else None
 
+    def is_full(self, *, now: float) -> bool:
+        """Return whether no further attempt can be admitted."""
+        self._forget(now)
+        return len(self._admitted) >= self._max_attempts
+
     def add(self, attempt: Attempt, outcome: Outcome, *, now: float) -> None:
         """Remember the outcome of a new attempt."""
-        self._seen[attempt] = (now, outcome)
-        if len(self._seen) > self._max_attempts:
-            self._seen.popitem(last=False)
+        entry = (now - self._paused, outcome)
+        if outcome.ticket:
+            self._admitted[attempt] = entry
+            return
+        self._refused[attempt] = entry
+        if len(self._refused) > self._max_attempts:
+            del self._refused[next(iter(self._refused))]
+
+    def extend(self, *, seconds: float) -> None:
+        """Remember everything longer by a pause.
+
+        A duplicate can have waited in a socket for as long as the process
+        was paused.
+        """
+        self._paused += seconds
 
     def _forget(self, now: float) -> None:
-        while self._seen:
-            attempt = next(iter(self._seen))
-            if now - self._seen[attempt][0] <= self._seconds:
-                return
-            del self._seen[attempt]
+        oldest = now - self._paused - self._seconds
+        for attempts in (self._admitted, self._refused):
+            while attempts:
+                attempt = next(iter(attempts))
+                if attempts[attempt][0] >= oldest:
+                    break
+                del attempts[attempt]
