--- a/packages/core/eelgrassdale/weights/selection.py
+++ b/packages/core/eelgrassdale/weights/selection.py
@@ -45,7 +45,7 @@
 
 def _feed(plan: Plan, state: TransferState, missing: int, now: float) -> Fetch | None:
     """Return a read that brings a chunk into the data centre."""
-    skipped = skipped_names(state.holders, now)
+    skipped = skipped_names(state.holders, now) | state.unavailable
     for index in _my_chunks(plan, state, missing, skipped, now):
         holder = feed_of(plan.routes, plan.me, index, skipped)
         known = _local_holder(plan, state, index, now)
@@ -172,6 +172,8 @@
 
 
 def _may_ask(state: TransferState, name: str, now: float) -> bool:
+    if name in state.unavailable:
+        return False
     holder = state.holders.get(name)
     if holder is None:
         return True
