--- a/packages/standins/eelgrassdale_standins/batching.py
+++ b/packages/standins/eelgrassdale_standins/batching.py
@@ -5,6 +5,7 @@
 
 import collections
 import itertools
+import queue
 
 import attrs
 
@@ -15,7 +16,11 @@
 
 @attrs.define(kw_only=True)
 class Stream:
-    """One request inside the engine."""
+    """One request inside the engine.
+
+    Its tokens pass through `outbox`; None there means that no further token
+    follows although the answer is not complete.
+    """
 
     request_id: str
     prompt: str
@@ -24,24 +29,35 @@
     resume_from: int
     order: int = 0
     prefill_steps: int = 0
-    tokens: list[str] = attrs.Factory(list)
-    is_cancelled: bool = False
-    is_lost: bool = False
+    made: int = 0
+    is_ended_early: bool = False
+    outbox: queue.SimpleQueue = attrs.Factory(queue.SimpleQueue)
 
     @property
     def is_complete(self) -> bool:
         """Whether all tokens were made."""
-        return self.resume_from + len(self.tokens) >= self.max_tokens
+        return self.resume_from + self.made >= self.max_tokens
 
     @property
     def has_ended(self) -> bool:
         """Whether no further token will be made."""
-        return self.is_complete or self.is_cancelled or self.is_lost
+        return self.is_complete or self.is_ended_early
 
     @property
     def tokens_held(self) -> int:
         """Tokens whose state is in memory: the prompt and what was made."""
-        return prompt_tokens(self.prompt) + self.resume_from + len(self.tokens)
+        return prompt_tokens(self.prompt) + self.resume_from + self.made
+
+    def make_token(self, weights: str) -> None:
+        """Make the next token."""
+        index = self.resume_from + self.made
+        self.made += 1
+        self.outbox.put(token_text(weights=weights, prompt=self.prompt, index=index))
+
+    def end_early(self) -> None:
+        """Make no further tokens."""
+        self.is_ended_early = True
+        self.outbox.put(None)
 
 
 def prompt_tokens(prompt: str) -> int:
@@ -125,13 +141,13 @@
 
     def drop(self, stream: Stream) -> None:
         """Cancel one stream; its place and memory are free at once."""
-        stream.is_cancelled = True
+        stream.end_early()
         self._remove_ended()
 
     def lose_all(self) -> None:
         """End all streams as a crash does, and forget all prefixes."""
         for stream in self.running + self.waiting:
-            stream.is_lost = True
+            stream.end_early()
         self._remove_ended()
         self._prefixes.clear()
 
@@ -158,10 +174,7 @@
             if stream.prefill_steps > 0:
                 stream.prefill_steps -= 1
                 continue
-            index = stream.resume_from + len(stream.tokens)
-            stream.tokens.append(
-                token_text(weights=weights, prompt=stream.prompt, index=index)
-            )
+            stream.make_token(weights)
             made += 1
         self._remove_ended()
         return made
--- a/packages/standins/eelgrassdale_standins/deployment.py
+++ b/packages/standins/eelgrassdale_standins/deployment.py
@@ -90,7 +90,7 @@
             self._launch(name, arguments)
         for agent in self.topology.agents:
             self.start_backend(agent.name, is_loaded=self.topology.is_model_loaded)
-        self._await_health()
+        self.wait_until_healthy()
         self._publish_vms()
         self.configuration.put(*self.topology.objects())
         for entry in self.topology.entries:
@@ -117,6 +117,18 @@
         )
         return self._launch(backend_name(agent), command)
 
+    def wait_until_healthy(self) -> None:
+        """Wait until every stand-in answers its health call."""
+        standins = dict(self.addresses.platform)
+        for agent, address in self.addresses.backend.items():
+            standins[backend_name(agent)] = address
+        for name, address in standins.items():
+            self._await(
+                name,
+                lambda address=address: control.is_healthy(address),
+                START_SECONDS,
+            )
+
     def wait_until_ready(self, seconds: float = START_SECONDS) -> None:
         """Wait until every node that runs is ready."""
         deadline = time.monotonic() + seconds
@@ -225,17 +237,6 @@
         self.processes[name] = process
         return process
 
-    def _await_health(self) -> None:
-        standins = dict(self.addresses.platform)
-        for agent, address in self.addresses.backend.items():
-            standins[backend_name(agent)] = address
-        for name, address in standins.items():
-            self._await(
-                name,
-                lambda address=address: control.is_healthy(address),
-                START_SECONDS,
-            )
-
     def _await(self, name: str, condition: Callable[[], bool], seconds: float) -> None:
         try:
             wait_until(
--- a/packages/standins/eelgrassdale_standins/engine.py
+++ b/packages/standins/eelgrassdale_standins/engine.py
@@ -1,6 +1,8 @@
 """Stand-in of a model engine: HTTP calls and the task that makes the tokens."""
 
 import json
+import queue
+import socket
 import threading
 import time
 from collections.abc import Iterator
@@ -130,7 +132,6 @@
         wanted = json.loads(read_body())
         with self._changed:
             found = self._batch.cancel(wanted["request_id"])
-            self._changed.notify_all()
         self.count("cancelled", found)
         return json_answer({"cancelled": found})
 
@@ -255,7 +256,6 @@
         self._reported_at = float("-inf")
         self._down_until = now + self._cfg.restart_seconds
         self._cold_until = self._down_until + self._cfg.cold_seconds
-        self._changed.notify_all()
 
     def _make_tokens(self) -> None:
         while True:
@@ -265,7 +265,6 @@
             with self._changed:
                 made = self._batch.step(weights=self._loaded.weights)
                 self._crash_if_overfilled()
-                self._changed.notify_all()
             self.count("tokens", made)
 
     def _step_seconds(self) -> float:
@@ -278,30 +277,39 @@
             seconds *= COLD_SLOWDOWN
         return seconds * self.current_faults.slowdown
 
-    def _lines(self, stream: Stream, conn: object) -> Iterator[bytes]:
-        sent = 0
+    def _lines(self, stream: Stream, conn: socket.socket) -> Iterator[bytes]:
+        index = stream.resume_from
         try:
-            while not (stream.is_complete and sent == len(stream.tokens)):
-                fresh = self._await_tokens(stream, sent)
-                if stream.is_cancelled or stream.is_lost:
+            while index < stream.max_tokens:
+                tokens = waiting_tokens(stream.outbox)
+                if tokens is None:
                     close_connection(conn)
                     return
-                first = stream.resume_from + sent
-                sent += len(fresh)
-                yield lines_of(fresh, first)
+                yield lines_of(tokens, index)
+                index += len(tokens)
             self.count("completed")
-            total = stream.resume_from + sent
-            yield json.dumps({"end": True, "tokens": total}).encode() + b"\n"
+            yield json.dumps({"end": True, "tokens": index}).encode() + b"\n"
         finally:
             with self._changed:
                 self._batch.drop(stream)
 
-    def _await_tokens(self, stream: Stream, sent: int) -> list[str]:
-        with self._changed:
-            self._changed.wait_for(
-                lambda: stream.has_ended or len(stream.tokens) > sent
-            )
-            return stream.tokens[sent:]
+
+def waiting_tokens(outbox: queue.SimpleQueue) -> list[str] | None:
+    """Wait for a token and return all that are there, None after an early end.
+
+    Examples
+    --------
+    >>> outbox = queue.SimpleQueue()
+    >>> for text in ("a ", "lid "):
+    ...     outbox.put(text)
+    >>> waiting_tokens(outbox)
+    ['a ', 'lid ']
+
+    """
+    tokens = [outbox.get()]
+    while not outbox.empty():
+        tokens.append(outbox.get())
+    return None if None in tokens else tokens
 
 
 def lines_of(tokens: list[str], first: int) -> bytes:
--- /dev/null
+++ b/packages/standins/eelgrassdale_standins/local.py
@@ -0,0 +1,46 @@
+"""Runs Lidwright's deployment on loopback until Ctrl-C, for first steps."""
+
+import signal
+import sys
+import threading
+
+from eelgrassdale_standins.control import url_of
+from eelgrassdale_standins.demo import demo_topology
+from eelgrassdale_standins.deployment import Deployment
+from eelgrassdale_standins.processes import ProcessError
+from eelgrassdale_standins.topology import LID_ASSISTANT
+
+CURL = """\
+curl --no-buffer {url} \\
+  -H 'X-Client-Account: {account}' -H 'Content-Type: application/json' \\
+  -d '{{"prompt": "Which lid fits a 24 cm pot?", "max_tokens": 12}}'"""
+
+
+def first_request(deployment: Deployment) -> str:
+    """Return a curl command that asks the model service through an entry node."""
+    address = next(iter(deployment.addresses.caller.values()))
+    return CURL.format(
+        url=url_of(address, f"/v1/services/{LID_ASSISTANT}/generate"),
+        account=deployment.topology.accounts[0].name,
+    )
+
+
+def main() -> int:
+    """Run the deployment; return 1 when it does not start."""
+    ended = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: ended.set())
+    try:
+        with Deployment(demo_topology()) as deployment:
+            print(first_request(deployment))
+            print("Ctrl-C ends the deployment.", flush=True)
+            ended.wait()
+            deployment.stop_nodes()
+    except ProcessError as exc:
+        print(f"deployment did not start: {exc}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/standins/eelgrassdale_standins/tests/conftest.py
+++ b/packages/standins/eelgrassdale_standins/tests/conftest.py
@@ -1,8 +1,9 @@
-"""Stand-in processes for the tests of this package."""
+"""Stand-ins and deployments for the tests of this package."""
 
 import pytest
 
 from eelgrassdale_standins.control import is_healthy
+from eelgrassdale_standins.deployment import Deployment
 from eelgrassdale_standins.processes import (
     Command,
     Ports,
@@ -10,6 +11,8 @@
     standin_arguments,
     wait_until,
 )
+from eelgrassdale_standins.tests.failures import MODELS, restore
+from eelgrassdale_standins.topology import small
 
 
 @pytest.fixture
@@ -39,3 +42,18 @@
     yield start
     for process in started:
         process.kill()
+
+
+@pytest.fixture(scope="session")
+def shared_deployment():
+    """Run one small deployment for all failure tests."""
+    with Deployment(small(models=MODELS)) as started:
+        yield started
+
+
+@pytest.fixture
+def deployment(shared_deployment):
+    """Return the deployment with every process running and no faults."""
+    restore(shared_deployment)
+    yield shared_deployment
+    assert shared_deployment.violations() == 0
--- /dev/null
+++ b/packages/standins/eelgrassdale_standins/tests/failures.py
@@ -0,0 +1,136 @@
+"""Helpers of the failure tests: requests in flight and the way back to health."""
+
+import json
+from concurrent.futures import Future, ThreadPoolExecutor
+
+from eelgrassdale_standins.callers import Answer, Caller, Outcome
+from eelgrassdale_standins.commands import OBJECT_API, backend_name
+from eelgrassdale_standins.control import counts_of, set_faults
+from eelgrassdale_standins.deployment import Deployment
+from eelgrassdale_standins.processes import wait_until
+from eelgrassdale_standins.topology import LID_ASSISTANT, ORDER_DESK, ModelSpec
+
+MODELS = (
+    ModelSpec(version="lid-1", size_bytes=1_000_000),
+    ModelSpec(version="lid-2", size_bytes=1_000_000, seed=2),
+)
+ACCOUNT = "franchise-0"
+TOKENS = 40
+SLOWDOWN = 10.0
+RESERVATION_SECONDS = 1.0
+WAIT_SECONDS = 20.0
+HONEST_STREAM_ENDS = (Outcome.WHOLE, Outcome.BROKEN, Outcome.MAY_HAVE_RUN)
+
+_threads = ThreadPoolExecutor(16)
+
+
+def restore(deployment: Deployment) -> None:
+    """Start what ended, resume what is frozen, clear faults, wait until ready."""
+    topology = deployment.topology
+    for process in deployment.processes.values():
+        process.resume()
+    for agent in topology.agents:
+        name = backend_name(agent.name)
+        if deployment.processes[name].exit_code is not None:
+            deployment.start_backend(agent.name, is_loaded=True)
+    for node in (*topology.entries, *topology.agents):
+        if deployment.processes[node.name].exit_code is not None:
+            deployment.start_node(node.name)
+    deployment.wait_until_healthy()
+    for agent in topology.agents:
+        address = deployment.addresses.backend[agent.name]
+        if agent.service == LID_ASSISTANT:
+            set_faults(address, slowdown=1.0, hang=False, outage=False)
+        else:
+            set_faults(address, delay_seconds=0.0, lose_answers=0, outage=False)
+    store = deployment.addresses.platform[OBJECT_API]
+    set_faults(store, outage=False, slow_seconds=0.0, lose_answers=0)
+    deployment.wait_until_ready()
+    for entry in topology.entries:
+        wait_until_served(deployment, entry.name)
+
+
+def caller() -> Caller:
+    """Return a caller that knows the expected text of both model versions."""
+    weights = {model.version: model.weights().loaded_digest for model in MODELS}
+    return Caller(account=ACCOUNT, weights=weights, timeout_seconds=15.0)
+
+
+def wait_until_served(deployment: Deployment, entry: str) -> None:
+    """Wait until an entry node reaches every backend server of the model service."""
+    wait_until(
+        lambda: ask(deployment, entry, tokens=1).result().is_whole,
+        seconds=WAIT_SECONDS,
+        what=f"{entry} answers",
+    )
+
+
+def ask(deployment: Deployment, entry: str, *, tokens: int = TOKENS) -> Future[Answer]:
+    """Send a prompt through an entry node in a thread."""
+    return _threads.submit(
+        caller().generate,
+        deployment.addresses.caller[entry],
+        LID_ASSISTANT,
+        prompt="Which lid?",
+        max_tokens=tokens,
+    )
+
+
+def issue_key(deployment: Deployment, entry: str) -> str:
+    """Return one key issued by an entry node."""
+    address = deployment.addresses.caller[entry]
+    return caller().entries(address, ORDER_DESK, keys=1).keys[0]
+
+
+def reserve(
+    deployment: Deployment, entry: str, *, key: str, reservation: str
+) -> Future[Answer]:
+    """Send a keyed reservation through an entry node in a thread."""
+    return _threads.submit(
+        caller().call,
+        deployment.addresses.caller[entry],
+        ORDER_DESK,
+        "reserve",
+        body=json.dumps({"reservation": reservation}).encode(),
+        key=key,
+    )
+
+
+def slow_engines(deployment: Deployment) -> None:
+    """Let every answer take long enough to act in the middle of it."""
+    for agent in deployment.topology.agents_of(LID_ASSISTANT):
+        set_faults(deployment.addresses.backend[agent.name], slowdown=SLOWDOWN)
+
+
+def slow_reservations(deployment: Deployment) -> None:
+    """Let every reservation take long enough to act in the middle of it."""
+    for agent in deployment.topology.agents_of(ORDER_DESK):
+        set_faults(
+            deployment.addresses.backend[agent.name], delay_seconds=RESERVATION_SECONDS
+        )
+
+
+def agent_running(deployment: Deployment, service: str) -> str:
+    """Wait until a backend server runs a request of a service; return its agent."""
+    found = []
+
+    def is_found() -> bool:
+        found.extend(
+            agent.name
+            for agent in deployment.topology.agents_of(service)
+            if counts_of(deployment.addresses.backend[agent.name])["running"] > 0
+        )
+        return bool(found)
+
+    wait_until(is_found, seconds=WAIT_SECONDS, what=f"a request of {service} runs")
+    return found[0]
+
+
+def runs_of(deployment: Deployment, reservation: str) -> int:
+    """Return how often a reservation ran on all backend servers."""
+    return sum(
+        counts_of(deployment.addresses.backend[agent.name])["reservations"].get(
+            reservation, 0
+        )
+        for agent in deployment.topology.agents_of(ORDER_DESK)
+    )
--- a/packages/standins/eelgrassdale_standins/topology.py
+++ b/packages/standins/eelgrassdale_standins/topology.py
@@ -197,3 +197,32 @@
         AgentSpec(name=f"{prefix}-{number}", data_centre=data_centre, service=service)
         for number, data_centre in enumerate(data_centres)
     )
+
+
+def small(*, models: tuple[ModelSpec, ...] = ()) -> Topology:
+    """Return a deployment with two of each node, for failure tests.
+
+    Examples
+    --------
+    >>> [agent.name for agent in small().agents]
+    ['lid-0', 'lid-1', 'order-0', 'order-1', 'portal-0', 'portal-1']
+
+    """
+    regions = {PORT_OF_SPAIN: "north", SAN_FERNANDO: "south"}
+    places = tuple(regions)
+    return attrs.evolve(
+        lidwright(models=models),
+        data_centres=tuple(
+            DataCentre(name=name, region=region) for name, region in regions.items()
+        ),
+        accounts=tuple(ClientAccount(name=f"franchise-{n}") for n in range(4)),
+        entries=tuple(
+            EntrySpec(name=f"entry-{number}", data_centre=place)
+            for number, place in enumerate(places)
+        ),
+        agents=(
+            *_agents("lid", LID_ASSISTANT, places),
+            *_agents("order", ORDER_DESK, places),
+            *_agents("portal", FRANCHISE_PORTAL, places),
+        ),
+    )
