--- a/packages/core/eelgrassdale/membership/suspicion.py
+++ b/packages/core/eelgrassdale/membership/suspicion.py
@@ -15,21 +15,24 @@
 class Health:
     """First-hand knowledge of one member.
 
-    `heard_at` and `failed_at` are monotonic seconds, None for never.
+    `heard_at` and `suspected_at` are monotonic seconds, None for never.
     """
 
     state: MemberState = MemberState.ALIVE
     incarnation: int = 0
     leaving: bool = False
     heard_at: float | None = None
-    failed_at: float | None = None
+    suspected_at: float | None = None
 
 
 def after_answer(
-    health: Health, *, incarnation: int, leaving: bool, now: float
+    health: Health, *, incarnation: int, leaving: bool | None, now: float
 ) -> Health:
     """Return the health after the member answered or sent a call.
 
+    Where the message does not tell whether the member is leaving (`leaving`
+    None), a life that was leaving still is.
+
     Examples
     --------
     >>> old = Health(incarnation=7, state=MemberState.DEAD)
@@ -41,6 +44,8 @@
     """
     if incarnation < health.incarnation:
         return health
+    if leaving is None:
+        leaving = health.leaving and incarnation == health.incarnation
     return Health(
         state=MemberState.ALIVE, incarnation=incarnation, leaving=leaving, heard_at=now
     )
@@ -58,8 +63,8 @@
 
     """
     if health.state is MemberState.ALIVE:
-        return evolve(health, state=MemberState.SUSPECT, failed_at=now)
-    return evolve(health, failed_at=now)
+        return evolve(health, state=MemberState.SUSPECT, suspected_at=now)
+    return health
 
 
 def after_indirect_probe(
