--- /dev/null
+++ b/packages/core/eelgrassdale/admission/machine.py
@@ -0,0 +1,342 @@
+"""The admission decisions of one agent as a deterministic state machine.
+
+The machine has no clock, thread or socket. Its owner passes one event at a
+time and gets one outcome; the same events give the same outcomes.
+"""
+
+from attrs import evolve, frozen
+
+from eelgrassdale.admission import events as ev
+from eelgrassdale.admission.backend import BackendState
+from eelgrassdale.admission.keys import check_key, clock_ms
+from eelgrassdale.admission.ledger import KeyState, Ledger
+from eelgrassdale.admission.load import OwnLoad, Use
+from eelgrassdale.admission.recent import RecentAttempts
+from eelgrassdale.results import Ran, ResultCode, verdict_of
+from eelgrassdale.telemetry import InvariantMonitor
+
+# Requests read this soon after a pause may have arrived during it.
+PAUSE_BACKLOG_SECONDS = 1.0
+
+_C = ResultCode
+
+
+@frozen(kw_only=True)
+class Running:
+    """One request on the backend server."""
+
+    memory_bytes: int
+    epoch: int
+    key: str
+
+
+class Admission:
+    """Admits requests for one backend server.
+
+    Parameters
+    ----------
+    settings : Settings
+        Who the agent is and the bounds of its tables.
+    monitor : InvariantMonitor
+        Counts broken invariants.
+    """
+
+    def __init__(self, *, settings: ev.Settings, monitor: InvariantMonitor) -> None:
+        self.settings = settings
+        self.ledger = Ledger(
+            max_keys=settings.max_keys, max_bytes=settings.max_key_bytes
+        )
+        self.backend = BackendState(now=settings.monotonic)
+        self._monitor = monitor
+        self._recent = RecentAttempts(
+            max_attempts=settings.max_attempts, seconds=settings.remember_seconds
+        )
+        self._cfg: ev.Configured | None = None
+        self._own = OwnLoad()
+        self._running: dict[int, Running] = {}
+        self._keys_running: set[str] = set()
+        self._pause: ev.PauseSeen | None = None
+        self._suspended = False
+        self._stopping = False
+        self._next_ticket = 1
+        self._expired: list[int] = []
+        self._handlers = {
+            ev.Configured: self._configured,
+            ev.Submitted: self._submitted,
+            ev.Resumed: self._resumed,
+            ev.Completed: self._completed,
+            ev.EngineReported: self._engine_reported,
+            ev.EngineLost: self._engine_lost,
+            ev.VersionMismatch: self._version_mismatch,
+            ev.LoadingStarted: self._loading_started,
+            ev.LoadingEnded: self._loading_ended,
+            ev.PauseSeen: self._pause_seen,
+            ev.PauseChecked: self._pause_checked,
+            ev.Stopping: self._stop,
+        }
+
+    def apply(self, event: ev.Event) -> ev.Outcome:
+        """Take one event into account and return its outcome."""
+        now_ms = clock_ms(self.settings, now=event.now)
+        self._expired += self.ledger.drop_expired(now_ms=now_ms)
+        return self._handlers[type(event)](event)
+
+    def take_expired(self) -> list[int]:
+        """Return the tickets whose keys expired since the last call."""
+        expired, self._expired = self._expired, []
+        return expired
+
+    @property
+    def running(self) -> int:
+        """Number of requests on the backend server."""
+        return self._own.use.running
+
+    @property
+    def suspended(self) -> bool:
+        """Whether a pause was seen and not yet checked."""
+        return self._suspended
+
+    def room(self, *, now: float) -> ev.Room:
+        """Return what the backend server can still take."""
+        used = self._used(now)
+        slow = self.backend.slow
+        return ev.Room(
+            slots=max(0, slow.limit - used.running),
+            limit=slow.limit,
+            memory_bytes=max(0, self.backend.memory_bound - used.memory_bytes),
+            cold=slow.limit < slow.max_slots,
+            accepting=self._blocked() is None,
+            model_version=self.backend.version,
+            running=self._own.use.running,
+        )
+
+    # Configuration and state of the process.
+
+    def _configured(self, event: ev.Configured) -> ev.Outcome:
+        self._cfg = event
+        self.backend.configure(event.bounds, now=event.now)
+        return ev.Outcome()
+
+    def _stop(self, _event: ev.Stopping) -> ev.Outcome:
+        self._stopping = True
+        return ev.Outcome()
+
+    def _pause_seen(self, event: ev.PauseSeen) -> ev.Outcome:
+        self._suspended = True
+        self._pause = event
+        self._recent.extend(seconds=event.seconds)
+        return ev.Outcome()
+
+    def _pause_checked(self, _event: ev.PauseChecked) -> ev.Outcome:
+        self._suspended = False
+        return ev.Outcome()
+
+    # State of the backend server.
+
+    def _engine_reported(self, event: ev.EngineReported) -> ev.Outcome:
+        self.backend.take_report(event)
+        return ev.Outcome(model_version=self.backend.version)
+
+    def _engine_lost(self, event: ev.EngineLost) -> ev.Outcome:
+        self.backend.fall(now=event.now)
+        return ev.Outcome()
+
+    def _version_mismatch(self, event: ev.VersionMismatch) -> ev.Outcome:
+        self.backend.forget_version(now=event.now)
+        return ev.Outcome()
+
+    def _loading_started(self, _event: ev.LoadingStarted) -> ev.Outcome:
+        self.backend.is_loading = True
+        return ev.Outcome()
+
+    def _loading_ended(self, event: ev.LoadingEnded) -> ev.Outcome:
+        self.backend.loaded(event.model_version, now=event.now)
+        return ev.Outcome(model_version=self.backend.version)
+
+    # Requests.
+
+    def _submitted(self, event: ev.Submitted) -> ev.Outcome:
+        attempt = (event.request_id, event.attempt)
+        repeat = self._recent.find(attempt, now=event.now)
+        if repeat is not None:
+            return evolve(repeat, run=False)
+        outcome = self._decide_keyed(event) if event.key else self._decide(event)
+        self._recent.add(attempt, outcome, now=event.now)
+        return outcome
+
+    def _decide_keyed(self, event: ev.Submitted) -> ev.Outcome:
+        checked = check_key(
+            event.key, service=event.service, settings=self.settings, now=event.now
+        )
+        if checked.is_error():
+            return ev.Outcome(code=checked.error.code, detail=checked.error.message)
+        look = self.ledger.look(
+            event.key,
+            digest=event.key_digest,
+            answer_bytes=self.settings.max_answer_bytes,
+        )
+        if look.code is not _C.OK:
+            return ev.Outcome(code=look.code)
+        if look.state is not KeyState.NEW:
+            return ev.Outcome(ticket=look.ticket, model_version=self.backend.version)
+        return self._decide_new_key(event, checked.ok.expires_at_ms)
+
+    def _decide_new_key(self, event: ev.Submitted, expires_at_ms: int) -> ev.Outcome:
+        outcome = self._decide(event)
+        record = {"digest": event.key_digest, "expires_at_ms": expires_at_ms}
+        if outcome.code is not _C.OK:
+            self.ledger.refuse(event.key, code=outcome.code, **record)
+            return outcome
+        self.ledger.start(
+            event.key,
+            ticket=outcome.ticket,
+            max_bytes=self.settings.max_answer_bytes,
+            **record,
+        )
+        return outcome
+
+    def _decide(self, event: ev.Submitted) -> ev.Outcome:
+        return self._refusal(event) or self._admit(event, key=event.key)
+
+    def _refusal(self, event: ev.Submitted) -> ev.Outcome | None:
+        if self._cfg is None or self._cfg.generation == 0:
+            return ev.Outcome(code=_C.NOT_READY)
+        return (
+            self._wrong_service(event.service)
+            or self._malformed(event)
+            or self._too_late(event)
+            or self._blocked()
+            or self._no_room(event)
+        )
+
+    def _wrong_service(self, service: str) -> ev.Outcome | None:
+        if self.backend.service == service:
+            return None
+        known = service in self._cfg.services
+        code = _C.NO_BACKEND_SERVER if known else _C.UNKNOWN_SERVICE
+        return ev.Outcome(code=code, detail=f"{service} does not run here")
+
+    def _malformed(self, event: ev.Submitted) -> ev.Outcome | None:
+        if event.refuse_with:
+            return ev.Outcome(code=_C(event.refuse_with))
+        counts_valid = event.max_tokens > 0 and event.prompt_tokens >= 0
+        if self.backend.is_model and not counts_valid:
+            return ev.Outcome(code=_C.INVALID_REQUEST, detail="max_tokens is not set")
+        return None
+
+    def _too_late(self, event: ev.Submitted) -> ev.Outcome | None:
+        if event.remaining_ms <= self._waited_ms(event.now):
+            return ev.Outcome(code=_C.DEADLINE_PASSED)
+        return None
+
+    def _waited_ms(self, now: float) -> float:
+        """Return how long a request may have waited unread during a pause."""
+        pause = self._pause
+        if pause is None or now - pause.now > PAUSE_BACKLOG_SECONDS:
+            return 0.0
+        return pause.seconds * 1000
+
+    def _blocked(self) -> ev.Outcome | None:
+        cfg = self._cfg
+        if cfg is None or cfg.generation == 0:
+            return ev.Outcome(code=_C.NOT_READY)
+        if self._stopping or not cfg.vm_in_service:
+            return ev.Outcome(code=_C.LEAVING)
+        if not cfg.data_centre_in_service:
+            return ev.Outcome(code=_C.DATA_CENTRE_OUT)
+        if self._suspended:
+            return ev.Outcome(code=_C.NOT_READY, detail="checks after a pause")
+        if not self.backend.is_serving():
+            return ev.Outcome(code=_C.SERVER_LOADING)
+        return None
+
+    def _no_room(self, event: ev.Submitted | ev.Resumed) -> ev.Outcome | None:
+        backend = self.backend
+        if event.model_version and event.model_version != backend.version:
+            return ev.Outcome(code=_C.MODEL_VERSION_UNAVAILABLE)
+        used = self._used(event.now)
+        need = self._memory_of(event)
+        if need > backend.bounds.memory_bytes:
+            return ev.Outcome(code=_C.REQUEST_TOO_LARGE, detail=f"{need} bytes")
+        if used.running + 1 > backend.slow.limit:
+            backend.note_limited(now=event.now)
+            return ev.Outcome(code=_C.SERVER_BUSY, detail="slots")
+        if used.memory_bytes + need > backend.memory_bound:
+            return ev.Outcome(code=_C.SERVER_BUSY, detail="memory")
+        if self._recent.is_full(now=event.now):
+            return ev.Outcome(code=_C.SERVER_BUSY, detail="attempts")
+        return None
+
+    def _admit(self, event: ev.Submitted | ev.Resumed, *, key: str) -> ev.Outcome:
+        ticket = self._next_ticket
+        self._next_ticket += 1
+        running = Running(
+            memory_bytes=self._memory_of(event), epoch=self.backend.slow.epoch, key=key
+        )
+        self._running[ticket] = running
+        self._own.add(memory_bytes=running.memory_bytes, now=event.now)
+        self._check_admitted(key)
+        version = self.backend.version if self.backend.is_model else ""
+        return ev.Outcome(ticket=ticket, run=True, model_version=version)
+
+    def _check_admitted(self, key: str) -> None:
+        use, backend = self._own.use, self.backend
+        self._monitor.check(
+            use.running <= backend.slow.limit,
+            "slots_within_limit",
+            running=use.running,
+            limit=backend.slow.limit,
+        )
+        self._monitor.check(
+            use.memory_bytes <= backend.memory_bound,
+            "memory_within_bound",
+            memory_bytes=use.memory_bytes,
+            bound=backend.memory_bound,
+        )
+        if key:
+            self._monitor.check(key not in self._keys_running, "key_runs_once", key=key)
+            self._keys_running.add(key)
+
+    def _resumed(self, event: ev.Resumed) -> ev.Outcome:
+        if self._suspended or self.backend.is_loading:
+            return ev.Outcome(code=_C.SERVER_LOADING)
+        if not self.backend.is_serving():
+            return ev.Outcome(code=_C.MODEL_VERSION_UNAVAILABLE)
+        return self._no_room(event) or self._admit(event, key="")
+
+    def _completed(self, event: ev.Completed) -> ev.Outcome:
+        running = self._running.pop(event.ticket, None)
+        known = self._monitor.check(
+            running is not None, "completes_once", ticket=event.ticket
+        )
+        if not known:
+            return ev.Outcome()
+        self._own.remove(memory_bytes=running.memory_bytes, now=event.now)
+        if event.healthy:
+            self.backend.rise(epoch=running.epoch, now=event.now)
+        if running.key:
+            self._keys_running.discard(running.key)
+            self._close_key(running.key, event)
+        return ev.Outcome()
+
+    def _close_key(self, key: str, event: ev.Completed) -> None:
+        if verdict_of(event.code).ran is Ran.NOT_RUN:
+            self.ledger.void(key, code=event.code)
+        else:
+            self.ledger.finish(key, code=event.code, held_bytes=event.answer_bytes)
+
+    # Derived values.
+
+    def _used(self, now: float) -> Use:
+        own = self._own.use
+        foreign = self.backend.foreign(peak=self._own.peak(now=now))
+        return Use(
+            running=own.running + foreign.running,
+            memory_bytes=own.memory_bytes + foreign.memory_bytes,
+        )
+
+    def _memory_of(self, event: ev.Submitted | ev.Resumed) -> int:
+        if not self.backend.is_model:
+            return event.body_bytes
+        tokens = event.prompt_tokens + event.max_tokens
+        return tokens * self.backend.bounds.token_bytes
