Run the weights task in the agent

Agents served requests only beside engines with weights already loaded. The program now starts the weights task and passes its load state and facts on in probe and status; settings for the origin's region and the rate between regions are added for it.

--- a/packages/agent/eelgrassdale_agent/cli.py
+++ b/packages/agent/eelgrassdale_agent/cli.py
@@ -21,6 +21,12 @@
 @click.option(
     "--link-bytes-per-second", default="125000000", help="Rate of the VM's link."
 )
+@click.option("--origin-region", default="", help="Region of the weight sources.")
+@click.option(
+    "--region-bytes-per-second",
+    default="1500000",
+    help="Rate of weights on the link between regions.",
+)
 @click.option(
     "--chunk-memory-bytes", default="67108864", help="Bound of chunks held for peers."
 )
--- a/packages/agent/eelgrassdale_agent/handler.py
+++ b/packages/agent/eelgrassdale_agent/handler.py
@@ -3,7 +3,6 @@
 from typing import Protocol
 
 from eelgrassdale.clock import Clock
-from eelgrassdale.results import ResultCode
 from eelgrassdale.wire import (
     CallRequest,
     ChunkAnswer,
@@ -45,26 +44,6 @@
     def facts(self) -> dict[str, str]: ...
 
 
-class NoWeights:
-    """Weights of a plain service: there are none."""
-
-    def read_chunk(self, request: ChunkRequest) -> ChunkAnswer:
-        """Refuse the read."""
-        return ChunkAnswer(code=int(ResultCode.CHUNK_NOT_HELD), data=b"")
-
-    def read_manifest(self, manifest: str) -> ManifestAnswer:
-        """Refuse the read."""
-        return ManifestAnswer(code=int(ResultCode.CHUNK_NOT_HELD), manifest=b"")
-
-    def load_state(self) -> str:
-        """Return the state of a process without weights."""
-        return ""
-
-    def facts(self) -> dict[str, str]:
-        """Return nothing."""
-        return {}
-
-
 class AgentHandler:
     """Passes each call to the part of the agent that answers it.
 
--- a/packages/agent/eelgrassdale_agent/program.py
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -21,12 +21,13 @@
 from eelgrassdale_agent.answers import BufferBudget
 from eelgrassdale_agent.engine import EngineClient
 from eelgrassdale_agent.gate import AdmissionGate
-from eelgrassdale_agent.handler import AgentHandler, NoWeights, Weights
+from eelgrassdale_agent.handler import AgentHandler
 from eelgrassdale_agent.intake import Intake
 from eelgrassdale_agent.pauses import PauseGuard
 from eelgrassdale_agent.plain import PlainClient
 from eelgrassdale_agent.settings import AgentSettings
 from eelgrassdale_agent.streams import StreamTable
+from eelgrassdale_agent.transfer import WeightsSettings, WeightsTask
 from eelgrassdale_agent.watch import EngineWatch
 from eelgrassdale_agent.work import Worker
 
@@ -53,7 +54,7 @@
         self.gate = self._new_gate()
         self.engine = EngineClient(url=cfg.backend_url)
         self.worker = self._new_worker()
-        self.weights: Weights = NoWeights()
+        self.weights = self._new_weights()
         self._build_request_side()
         self.watch = EngineWatch(
             engine=self.engine, gate=self.gate, clock=self.context.clock
@@ -75,6 +76,7 @@
         self.context.replica.subscribe(self._configure)
         self._server.start()
         self.runtime.start()
+        self.weights.start()
         self._loop("pause-guard", self.guard.tick, pauses.TICK_SECONDS)
         self._loop("engine-watch", self.watch.step, watch.WATCH_SECONDS)
         self._loop("sweep", self._sweep, SWEEP_SECONDS)
@@ -87,6 +89,7 @@
         drained = self._drain()
         log.info("agent stops", drained=drained)
         self._stopping.set()
+        self.weights.stop()
         self._server.stop()
         self.runtime.stop()
         self.context.tracer.close()
@@ -128,6 +131,21 @@
             tracer=context.tracer,
         )
 
+    def _new_weights(self) -> WeightsTask:
+        cfg = self._cfg
+        return WeightsTask(
+            context=self.context,
+            gate=self.gate,
+            cfg=WeightsSettings(
+                backend_url=cfg.backend_url,
+                weight_sources=cfg.weight_sources,
+                link_bytes_per_second=cfg.link_bytes_per_second,
+                chunk_memory_bytes=cfg.chunk_memory_bytes,
+                origin_region=cfg.origin_region,
+                region_bytes_per_second=cfg.region_bytes_per_second,
+            ),
+        )
+
     def _build_request_side(self) -> None:
         context = self.context
         settings = self.gate.settings
--- a/packages/agent/eelgrassdale_agent/settings.py
+++ b/packages/agent/eelgrassdale_agent/settings.py
@@ -20,7 +20,9 @@
 class AgentSettings(NodeSettings):
     """Settings of one agent.
 
-    `link_bytes_per_second` is the rate of the VM's link in each direction.
+    `link_bytes_per_second` is the rate of the VM's link in each direction,
+    `region_bytes_per_second` what weights may use of the link between regions.
+    `origin_region` is the region of the weight sources, empty when unknown.
     `chunk_memory_bytes`, `buffer_bytes` and `key_bytes` bound the chunks held
     for peers, the answers held for readers and the answers of keys.
     """
@@ -34,6 +36,12 @@
         converter=parse_int,
         validator=number_between(1_000, 100_000_000_000),
     )
+    origin_region: str = ""
+    region_bytes_per_second: float = field(
+        default=1_500_000.0,
+        converter=parse_float,
+        validator=number_between(1_000, 100_000_000_000),
+    )
     chunk_memory_bytes: int = field(
         default=64 * MIB,
         converter=parse_int,
