--- a/packages/core/eelgrassdale/routing/choice.py
+++ b/packages/core/eelgrassdale/routing/choice.py
@@ -73,14 +73,15 @@
     """What one request needs of a backend server.
 
     `model_version` is set for a resumed stream; `affinity` is the digest of
-    the prompt prefix or empty; `allow_suspect` is true for work that may run
-    twice; `allow_other_region` tells whether the byte budget covers it.
+    the prompt prefix or empty; backend servers in `avoided` are taken only
+    when there is no other; `allow_suspect` is true for work that may run twice;
+    `allow_other_region` tells whether the byte budget covers it.
     """
 
     memory_bytes: int = 0
     model_version: str = ""
     affinity: str = ""
-    excluded: frozenset[str] = frozenset()
+    avoided: frozenset[str] = frozenset()
     allow_suspect: bool = True
     allow_other_region: bool = True
 
@@ -117,11 +118,7 @@
     'a'
 
     """
-    usable = [view for view in views if _is_usable(view, need)]
-    trusted = [view for view in usable if not view.suspect]
-    if not trusted and need.allow_suspect:
-        trusted = usable
-    free = [view for view in trusted if _has_headroom(view, need)]
+    free = [view for view in candidates(views, need) if _has_headroom(view, need)]
     for tier in Tier:
         if tier is Tier.OTHER_REGION and not need.allow_other_region:
             break
@@ -131,12 +128,29 @@
     return None
 
 
-def _is_usable(view: AgentView, need: Need) -> bool:
-    return (
-        view.accepting
-        and view.name not in need.excluded
-        and need.model_version in ("", view.model_version)
-    )
+def candidates(views: Sequence[AgentView], need: Need) -> list[AgentView]:
+    """Return the backend servers that may take a request, free or busy.
+
+    Examples
+    --------
+    >>> view = AgentView(
+    ...     name="a", data_centre="n1", region="n", slots=0, memory_bytes=0
+    ... )
+    >>> [v.name for v in candidates([view], Need(avoided=frozenset({"a"})))]
+    ['a']
+    >>> candidates([view], Need(model_version="lid-2"))
+    []
+
+    """
+    usable = [
+        view
+        for view in views
+        if view.accepting and need.model_version in ("", view.model_version)
+    ]
+    trusted = [view for view in usable if not view.suspect]
+    if not trusted and need.allow_suspect:
+        trusted = usable
+    return [view for view in trusted if view.name not in need.avoided] or trusted
 
 
 def _has_headroom(view: AgentView, need: Need) -> bool:
--- a/packages/entry/eelgrassdale_entry/agents.py
+++ b/packages/entry/eelgrassdale_entry/agents.py
@@ -13,8 +13,8 @@
 from eelgrassdale.wire import Headroom
 from eelgrassdale_entry.links import AgentLink
 
-# A suspect that has not answered for this long is tried again only after its
-# next answer to a poll.
+# A link outside the subsets, opened for a keyed request, is kept this long.
+KEEP_LINK_SECONDS = 10.0
 USABLE_STATES = (MemberState.ALIVE, MemberState.SUSPECT)
 
 LinkFactory = Callable[[str, str], AgentLink]
@@ -31,7 +31,7 @@
     pending: dict[str, int] = field(factory=dict)
     flights: int = 0
     is_silent: bool = False
-    heard_at: float = 0.0
+    used_at: float = 0.0
 
 
 class AgentTable:
@@ -66,14 +66,19 @@
             )
             for service in cfg.services
         }
+        for names in self._subsets.values():
+            for name in names:
+                self.open(members.by_name[name])
+        for name, agent in self._agents.items():
+            agent.member = members.by_name.get(name, agent.member)
+        self.close_unused()
+
+    def close_unused(self) -> None:
+        """Close the links that no subset and no request uses."""
         wanted = {name for names in self._subsets.values() for name in names}
-        for name in wanted:
-            self.open(members.by_name[name])
+        limit = self._clock.monotonic() - KEEP_LINK_SECONDS
         for name, agent in list(self._agents.items()):
-            member = members.by_name.get(name)
-            if member is not None:
-                agent.member = member
-            if name not in wanted and not agent.flights:
+            if name not in wanted and not agent.flights and agent.used_at < limit:
                 agent.link.close()
                 del self._agents[name]
 
@@ -86,7 +91,7 @@
             agent.link.close()
         link = self._new_link(member.name, member.node_address)
         link.start()
-        agent = AgentState(member=member, link=link)
+        agent = AgentState(member=member, link=link, used_at=self._clock.monotonic())
         self._agents[member.name] = agent
         return agent
 
@@ -109,19 +114,27 @@
         """
         found = []
         for name in self.subset(service):
-            agent = self._agents.get(name)
             vm = cfg.vms.get(name)
-            if agent is None or vm is None or not takes_new_work(cfg, vm, service):
+            if vm is None or not takes_new_work(cfg, vm, service):
                 continue
-            headroom = agent.headroom.get(service)
-            if headroom is not None and agent.member.state in USABLE_STATES:
-                found.append(_view(agent, headroom))
+            view = self.view(name, service)
+            if view is not None:
+                found.append(view)
         return found
 
+    def view(self, name: str, service: str) -> AgentView | None:
+        """Return what is known of one agent, None before its first report."""
+        agent = self._agents.get(name)
+        headroom = agent.headroom.get(service) if agent is not None else None
+        if headroom is None or agent.member.state not in USABLE_STATES:
+            return None
+        return _view(agent, headroom)
+
     def note_sent(self, agent: AgentState, request_id: str, memory_bytes: int) -> None:
         """Count work sent since the last report."""
         agent.pending[request_id] = memory_bytes
         agent.flights += 1
+        agent.used_at = self._clock.monotonic()
 
     def note_answer(
         self, agent: AgentState, request_id: str, service: str, headroom
@@ -134,7 +147,6 @@
     def note_report(self, agent: AgentState, incarnation: int, headroom) -> None:
         """Take a report that came with a poll."""
         agent.is_silent = False
-        agent.heard_at = self._clock.monotonic()
         agent.incarnation = incarnation
         agent.headroom = dict(headroom)
 
--- a/packages/entry/eelgrassdale_entry/callers.py
+++ b/packages/entry/eelgrassdale_entry/callers.py
@@ -12,18 +12,20 @@
 
 from eelgrassdale.catalog import ServiceKind
 from eelgrassdale.results import ResultCode, ResultError, verdict_of
-from eelgrassdale.telemetry import SpanKind
 from eelgrassdale_entry import answers, checks
 from eelgrassdale_entry.bulkheads import Bulkheads
 from eelgrassdale_entry.channel import Channel
 from eelgrassdale_entry.httpserver import HAND_OVER, HandOver
 from eelgrassdale_entry.intake import Intake
 from eelgrassdale_entry.listing import Listing
-from eelgrassdale_entry.messages import AnswerSink
+from eelgrassdale_entry.messages import HttpRequest
 from eelgrassdale_entry.sinks import PlainSink, StreamSink
 
 CALLER_CHECK_SECONDS = 0.25
 MAX_KEYS = 100
+READ_BYTES = 64 * 1024
+# Bytes of an oversized body that are read before the error is answered.
+DISCARD_BYTES = 4 * 1024 * 1024
 JSON_TYPE = "application/json"
 
 APPLICATION_CONFIG = {
@@ -99,13 +101,11 @@
     def _generate(self, request_id: str, service: str) -> bytes:
         if cherrypy.request.method != "POST":
             return _refuse(request_id, _method_error("POST"))
-        body = self._body()
+        http = self._read_request(request_id, service, ServiceKind.MODEL)
         channel = self._context.intake.channel(request_id, ServiceKind.MODEL)
         if channel is None:
-            return _refuse(request_id, _too_many_readers())
-        error = self._submit(
-            request_id, service, ServiceKind.MODEL, body, StreamSink(channel=channel)
-        )
+            return _refuse(request_id, _too_many_readers(http))
+        error = self._context.intake.submit(http, StreamSink(channel=channel))
         if error is not None:
             channel.close()
             return _refuse(request_id, error)
@@ -115,12 +115,12 @@
     def _call(self, request_id: str, service: str) -> bytes:
         if cherrypy.request.method not in checks.METHODS:
             return _refuse(request_id, _method_error(", ".join(checks.METHODS)))
-        body = self._body()
+        http = self._read_request(request_id, service, ServiceKind.PLAIN)
         channel = self._context.intake.channel(request_id, ServiceKind.PLAIN)
         if channel is None:
-            return _refuse(request_id, _too_many_readers())
+            return _refuse(request_id, _too_many_readers(http))
         sink = PlainSink(channel=channel)
-        error = self._submit(request_id, service, ServiceKind.PLAIN, body, sink)
+        error = self._context.intake.submit(http, sink)
         if error is not None:
             channel.close()
             return _refuse(request_id, error)
@@ -129,41 +129,6 @@
                 self._wait(channel, sink)
         return self._plain_answer(channel, sink)
 
-    def _submit(
-        self,
-        request_id: str,
-        service: str,
-        kind: ServiceKind,
-        body: bytes | None,
-        sink: AnswerSink,
-    ) -> ResultError | None:
-        headers = checks.check_headers(cherrypy.request.headers)
-        if headers.is_error():
-            return headers.error
-        keyed = headers.ok.key is not None
-        if body is None:
-            error = ResultError(code=ResultCode.REQUEST_TOO_LARGE)
-            return checks.refusal(error, keyed=keyed)
-        with self._context.intake.tracer.span(
-            SpanKind.ENTRY,
-            traceparent=headers.ok.traceparent,
-            service=service,
-            request_id=request_id,
-        ) as traceparent:
-            error = self._context.intake.submit(
-                request_id=request_id,
-                service=service,
-                kind=kind,
-                headers=headers.ok,
-                body=body,
-                method=cherrypy.request.method,
-                path=_call_path(),
-                passed=_passed_headers(),
-                traceparent=traceparent,
-                sink=sink,
-            )
-        return None if error is None else checks.refusal(error, keyed=keyed)
-
     def _wait(self, channel: Channel, sink: PlainSink) -> None:
         sock = _hand_over().sock
         while not sink.wait(CALLER_CHECK_SECONDS):
@@ -190,15 +155,20 @@
         adopt = self._context.intake.adopt
         _hand_over().take_over = lambda sock: adopt(sock, channel)
 
-    def _body(self) -> bytes | None:
-        limit = self._context.max_body_bytes
-        length = cherrypy.request.headers.get("Content-Length", "")
-        if length.isdigit() and int(length) > limit:
-            return None
-        if not length and "Transfer-Encoding" not in cherrypy.request.headers:
-            return b""
-        body = cherrypy.request.rfile.read(limit + 1)
-        return None if len(body) > limit else body
+    def _read_request(
+        self, request_id: str, service: str, kind: ServiceKind
+    ) -> HttpRequest:
+        body = _read_body(self._context.max_body_bytes)
+        _hand_over().request_read()
+        return HttpRequest(
+            request_id=request_id,
+            service=service,
+            kind=kind,
+            method=cherrypy.request.method,
+            path=_call_path(),
+            headers=cherrypy.request.headers,
+            body=body,
+        )
 
 
 class Root:
@@ -269,11 +239,12 @@
     return ResultError(code=ResultCode.INVALID_REQUEST, problems=(problem,))
 
 
-def _too_many_readers() -> ResultError:
-    return ResultError(
+def _too_many_readers(http: HttpRequest) -> ResultError:
+    error = ResultError(
         code=ResultCode.QUEUE_FULL,
         message="this entry node cannot hold memory for another caller",
     )
+    return checks.refusal(error, keyed="Idempotency-Key" in http.headers)
 
 
 def _new_request_id() -> str:
@@ -288,9 +259,21 @@
     return f"{path}?{uri.query}" if uri.query else path
 
 
-def _passed_headers() -> dict[str, str]:
+def _read_body(limit: int) -> bytes | None:
     headers = cherrypy.request.headers
-    return {name: headers[name] for name in checks.PASSED_HEADERS if name in headers}
+    length = headers.get("Content-Length", "")
+    if not length and "Transfer-Encoding" not in headers:
+        return b""
+    rfile = cherrypy.request.rfile
+    if not length.isdigit() or int(length) <= limit:
+        body = rfile.read(limit + 1)
+        return None if len(body) > limit else body
+    # Closing with unread bytes resets the connection, and the caller would
+    # lose the error answer.
+    left = min(int(length), limit + DISCARD_BYTES)
+    while left > 0 and rfile.read(min(left, READ_BYTES)):
+        left -= READ_BYTES
+    return None
 
 
 def _has_left(sock: socket.socket) -> bool:
--- a/packages/entry/eelgrassdale_entry/channel.py
+++ b/packages/entry/eelgrassdale_entry/channel.py
@@ -73,11 +73,11 @@
         self.request_id = request_id
         self.on_gone = on_gone
         self.wake: Callable[[Channel], None] = _ignore
-        self.drained: Callable[[], None] = _nothing
         self._memory = memory
         self._encode = encode
         self._whole_characters = whole_characters
         self._lock = threading.Lock()
+        self.written = 0
         self._head = b""
         self._text = bytearray()
         self._offset = 0
@@ -109,6 +109,7 @@
 
     def write(self, data: bytes) -> None:
         """Add bytes that `settle` has counted already."""
+        self.written += len(data)
         with self._lock:
             if self._closed or self._tail is not None:
                 dropped = len(data)
@@ -174,7 +175,6 @@
         """Free bytes that the socket accepted."""
         if count:
             self._memory.release(count)
-            self.drained()
 
     def close(self) -> None:
         """Drop what is held; later writes are dropped as well."""
@@ -192,7 +192,3 @@
 
 def _ignore(_channel: Channel) -> None:
     return None
-
-
-def _nothing() -> None:
-    return None
--- a/packages/entry/eelgrassdale_entry/checks.py
+++ b/packages/entry/eelgrassdale_entry/checks.py
@@ -174,6 +174,11 @@
     return ResultError(code=code, message=message, problems=error.problems)
 
 
+def passed_headers(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the headers that a plain service gets."""
+    return {name: headers[name] for name in PASSED_HEADERS if name in headers}
+
+
 def queue_priority(account: ClientAccount, headers: CallerHeaders) -> int:
     """Return the rank of a request: the account's first, then its own."""
     return account.priority * (MAX_PRIORITY + 1) + headers.priority
--- a/packages/entry/eelgrassdale_entry/dispatcher.py
+++ b/packages/entry/eelgrassdale_entry/dispatcher.py
@@ -6,33 +6,42 @@
 
 import queue
 import threading
+from collections.abc import Callable
 from random import Random
 
 import structlog
-from attrs import define, field, frozen
+from attrs import frozen
 
-from eelgrassdale.catalog import Configuration, ServiceKind
+from eelgrassdale.catalog import Configuration
 from eelgrassdale.clock import Clock
 from eelgrassdale.membership.members import MembersView
-from eelgrassdale.results import Ran, ResultCode, ResultError, verdict_of
-from eelgrassdale.routing.choice import Need, Place, choose
-from eelgrassdale.routing.fairqueue import FairQueue, Queued
-from eelgrassdale.routing.frames import AnswerReader
-from eelgrassdale.routing.outcomes import final_code, keyed_code
+from eelgrassdale.results import Ran, ResultCode, verdict_of
+from eelgrassdale.routing.choice import Place, candidates, choose
+from eelgrassdale.routing.fairqueue import FairQueue
+from eelgrassdale.routing.outcomes import keyed_code
 from eelgrassdale.routing.regions import RegionBudget
-from eelgrassdale.routing.retry import RetryBudget, may_send_again
+from eelgrassdale.routing.retry import may_send_again
 from eelgrassdale.spread.replica import Replica
 from eelgrassdale.telemetry import InvariantMonitor, Metrics
 from eelgrassdale_entry.agents import AgentState, AgentTable
+from eelgrassdale_entry.flights import (
+    Flight,
+    ServiceState,
+    begin_attempt,
+    can_continue,
+    error_of,
+    need_of,
+    new_flight,
+    note_failure,
+    wire_bytes,
+)
 from eelgrassdale_entry.keys import KeyWatch, keys_on_offer
 from eelgrassdale_entry.messages import (
     AgentReport,
     AgentSilent,
-    Attempt,
     AttemptAccepted,
     AttemptEnded,
     CallerGone,
-    CallerRequest,
     NewRequest,
     TopologyChanged,
 )
@@ -40,36 +49,15 @@
 TICK_SECONDS = 0.05
 # Time that an agent gets to end a request whose deadline passed.
 DEADLINE_GRACE_SECONDS = 1.0
-MAX_ATTEMPTS = 4
+# Time for a member to appear, such as after the start of this node.
+NO_SERVER_SECONDS = 1.0
 MESSAGES_PER_TURN = 256
+# Queued requests looked at past one that no backend server can take now.
+LOOK_PAST = 8
 
 log = structlog.get_logger(__name__)
 
 
-@define(kw_only=True, eq=False)
-class Flight:
-    """One request that the dispatcher holds, queued or sent."""
-
-    request: CallerRequest
-    queued: Queued
-    reader: AnswerReader
-    attempts: int = 0
-    current: Attempt | None = None
-    refused_by: frozenset[str] = frozenset()
-    last_error: ResultError | None = None
-    may_have_run: bool = False
-    model_version: str = ""
-    incarnation: int = 0
-
-
-@define(kw_only=True)
-class ServiceState:
-    """Queue and budget of one service."""
-
-    queue: FairQueue
-    budget: RetryBudget = field(factory=RetryBudget)
-
-
 @frozen(kw_only=True)
 class DispatcherContext:
     """What the dispatcher needs of the process."""
@@ -106,7 +94,7 @@
         self._thread = threading.Thread(
             target=self._run, name="dispatcher", daemon=True
         )
-        self._handlers = {
+        self._handlers: dict[type, Callable] = {
             NewRequest: self._on_new_request,
             CallerGone: self._on_caller_gone,
             AttemptAccepted: self._on_accepted,
@@ -134,56 +122,42 @@
 
     def held(self) -> int:
         """Return the number of requests that are queued or sent."""
-        return len(self._flights)
+        return len(self._flights) + self._inbox.qsize()
 
     def offers(self, service: str) -> list[tuple[str, int]]:
         """Return agents that accept work now and their incarnations."""
         return self._offers.get(service, [])
 
     def _run(self) -> None:
-        self._on_topology(TopologyChanged())
-        next_tick = self._now() + TICK_SECONDS
+        next_tick = self._now()
         while not self._stopping:
-            self._turn()
+            self._guarded(self._take_messages)
+            self._guarded(self._send_queued)
             if self._now() >= next_tick:
-                self._tick()
+                self._guarded(self._tick)
                 next_tick = self._now() + TICK_SECONDS
 
-    def _turn(self) -> None:
+    def _guarded(self, step: Callable[..., None], *args: object) -> None:
+        try:
+            step(*args)
+        except Exception:
+            # One faulty message must not end the task that serves everyone.
+            self._context.metrics.count("dispatcher_errors")
+            log.exception("dispatcher step failed", step=step.__name__)
+
+    def _take_messages(self) -> None:
         try:
             message = self._inbox.get(timeout=TICK_SECONDS)
             for _ in range(MESSAGES_PER_TURN):
-                self._handle(message)
+                self._guarded(self._handlers[type(message)], message)
                 message = self._inbox.get_nowait()
         except queue.Empty:
-            pass
-        self._send_queued()
-
-    def _handle(self, message: object) -> None:
-        try:
-            self._handlers[type(message)](message)
-        except Exception:
-            # One faulty message must not end the task that serves everyone.
-            self._context.metrics.count("dispatcher_errors")
-            log.exception("message failed", message=type(message).__name__)
+            return
+        self._guarded(self._handlers[type(message)], message)
 
     def _on_new_request(self, message: NewRequest) -> None:
-        req = message.request
-        flight = Flight(
-            request=req,
-            queued=Queued(
-                request_id=req.request_id,
-                account=req.account,
-                weight=req.weight,
-                priority=req.priority,
-            ),
-            reader=AnswerReader(
-                request_id=req.request_id,
-                attempt=0,
-                incarnation=0,
-                keep_text=req.kind is ServiceKind.MODEL and req.idempotent,
-            ),
-        )
+        flight = new_flight(message.request)
+        req = flight.request
         self._flights[req.request_id] = flight
         if req.key is not None:
             self._send_keyed(flight)
@@ -192,7 +166,7 @@
         state.budget.add_request()
         victim = state.queue.push(flight.queued)
         if victim is not None:
-            self._refuse(victim.request_id, ResultCode.QUEUE_FULL)
+            self._fail(self._flights[victim.request_id], ResultCode.QUEUE_FULL)
 
     def _send_keyed(self, flight: Flight) -> None:
         key = flight.request.key
@@ -206,94 +180,89 @@
     def _send_queued(self) -> None:
         cfg = self._context.replica.current()
         for service, state in self._services.items():
-            self._send_queued_of(service, state, cfg)
+            if len(state.queue):
+                self._send_queued_of(service, state, cfg)
 
     def _send_queued_of(
         self, service: str, state: ServiceState, cfg: Configuration
     ) -> None:
-        while len(state.queue):
+        views = {view.name: view for view in self._agents.views(cfg, service)}
+        skipped = []
+        while len(state.queue) and len(skipped) < LOOK_PAST:
+            if not any(view.free_slots > 0 for view in views.values()):
+                break
             queued = state.queue.pop()
             flight = self._flights[queued.request_id]
-            view = choose(
-                views=self._agents.views(cfg, service),
-                place=self._context.place,
-                need=self._need(flight),
-                rng=self._rng,
-            )
-            if view is None:
-                state.queue.push_front(queued)
-                return
-            agent = self._agents.get(view.name)
-            self._context.monitor.check(
-                cfg.is_in_service(agent.member.data_centre),
-                "no_new_work_to_data_centre_out",
-                agent=view.name,
-                generation=cfg.generation,
+            chosen = self._choose(flight, list(views.values()))
+            if chosen is not None:
+                self._send_new_work(flight, chosen, cfg)
+                views[chosen] = self._agents.view(chosen, service)
+            elif queued.request_id in self._flights:
+                skipped.append(queued)
+        for queued in reversed(skipped):
+            state.queue.push_front(queued)
+
+    def _choose(self, flight: Flight, views: list) -> str | None:
+        need = need_of(
+            flight,
+            allow_other_region=self._regions.allows(
+                wire_bytes(flight.request), self._now()
+            ),
+        )
+        view = choose(views=views, place=self._context.place, need=need, rng=self._rng)
+        if view is None and need.model_version and not candidates(views, need):
+            self._fail(
+                flight, ResultCode.ANSWER_TRUNCATED, "no other server has the version"
             )
-            self._charge_region(flight, agent)
-            self._send(flight, agent)
-
-    def _need(self, flight: Flight) -> Need:
-        req = flight.request
-        return Need(
-            memory_bytes=req.memory_bytes,
-            model_version=flight.model_version if flight.reader.offset else "",
-            affinity=req.affinity,
-            excluded=flight.refused_by,
-            allow_suspect=req.idempotent,
-            allow_other_region=self._regions.allows(_wire_bytes(req), self._now()),
+        return None if view is None else view.name
+
+    def _send_new_work(self, flight: Flight, name: str, cfg: Configuration) -> None:
+        agent = self._agents.get(name)
+        self._context.monitor.check(
+            cfg.is_in_service(agent.member.data_centre),
+            "no_new_work_to_data_centre_out",
+            agent=name,
+            generation=cfg.generation,
         )
-
-    def _charge_region(self, flight: Flight, agent: AgentState) -> None:
         if agent.member.region != self._context.place.region:
-            self._regions.charge(_wire_bytes(flight.request), self._now())
+            self._regions.charge(wire_bytes(flight.request), self._now())
+        self._send(flight, agent)
 
     def _send(self, flight: Flight, agent: AgentState) -> None:
-        flight.attempts += 1
-        flight.reader = flight.reader.continued(
-            attempt=flight.attempts, incarnation=agent.incarnation
-        )
-        text = flight.reader.text() or b""
-        flight.current = Attempt(
-            request=flight.request,
-            number=flight.attempts,
-            agent=agent.member.name,
-            reader=flight.reader,
-            model_version=flight.model_version if flight.reader.offset else "",
-            resume_text=text.decode("utf-8", "replace"),
-        )
-        self._agents.note_sent(
-            agent, flight.request.request_id, flight.request.memory_bytes
+        req = flight.request
+        attempt = begin_attempt(
+            flight, agent=agent.member.name, incarnation=agent.incarnation
         )
-        if not agent.link.submit(flight.current):
-            self._on_ended(self._not_queued(flight))
-
-    def _not_queued(self, flight: Flight) -> AttemptEnded:
-        return AttemptEnded(
-            request_id=flight.request.request_id,
-            attempt=flight.attempts,
-            agent=flight.current.agent,
-            code=ResultCode.SERVER_BUSY,
-            message="too many calls wait for this agent",
-            by_agent=False,
+        self._agents.note_sent(agent, req.request_id, req.memory_bytes)
+        if agent.link.submit(attempt):
+            return
+        self._on_ended(
+            AttemptEnded(
+                request_id=req.request_id,
+                attempt=attempt.number,
+                agent=attempt.agent,
+                code=ResultCode.SERVER_BUSY,
+                message="too many calls wait for this agent",
+                by_agent=False,
+            )
         )
 
     def _on_accepted(self, message: AttemptAccepted) -> None:
         flight = self._flights.get(message.request_id)
+        if flight is None or flight.attempts != message.attempt:
+            return
         agent = self._agents.get(message.agent)
-        if agent is not None and flight is not None:
+        if agent is not None:
             self._agents.note_answer(
                 agent, message.request_id, flight.request.service, message.headroom
             )
-        if flight is not None and flight.attempts == message.attempt:
-            flight.model_version = message.model_version
-            flight.incarnation = message.incarnation
+        flight.model_version = message.model_version
 
     def _on_ended(self, message: AttemptEnded) -> None:
-        agent = self._agents.get(message.agent)
         flight = self._flights.get(message.request_id)
         if flight is None or flight.attempts != message.attempt:
             return
+        agent = self._agents.get(message.agent)
         if agent is not None:
             agent.flights -= 1
             self._agents.note_answer(
@@ -302,36 +271,26 @@
         flight.current = None
         if message.code == ResultCode.OK:
             del self._flights[message.request_id]
-            return
-        self._after_failure(flight, message)
+        else:
+            self._after_failure(flight, message)
 
     def _after_failure(self, flight: Flight, message: AttemptEnded) -> None:
         req = flight.request
+        keyed = req.key is not None
         code = message.code
-        if req.key is not None and not message.by_agent:
+        if keyed and not message.by_agent:
             code = keyed_code(code)
-        flight.last_error = ResultError(code=_known(code), message=message.message)
-        flight.may_have_run |= verdict_of(code).ran is not Ran.NOT_RUN
-        again = may_send_again(
-            code=code, idempotent=req.idempotent, keyed=req.key is not None
-        )
-        if again and self._can_continue(flight) and self._take_retry(flight):
-            flight.refused_by |= {message.agent}
+        note_failure(flight, code=code, message=message.message, agent=message.agent)
+        again = may_send_again(code=code, idempotent=req.idempotent, keyed=keyed)
+        if again and can_continue(flight) and self._take_retry(req.service):
             self._service(req.service).queue.push_front(flight.queued)
-            return
-        self._fail(flight, code, message.message)
-
-    def _can_continue(self, flight: Flight) -> bool:
-        if flight.attempts >= MAX_ATTEMPTS:
-            return False
-        return not flight.reader.offset or flight.reader.text() is not None
+        else:
+            self._fail(flight, code, message.message)
 
-    def _take_retry(self, flight: Flight) -> bool:
-        if not self._service(flight.request.service).budget.take():
-            self._context.metrics.count("retries_over_budget")
-            return False
-        self._context.metrics.count("retries")
-        return True
+    def _take_retry(self, service: str) -> bool:
+        is_within = self._service(service).budget.take()
+        self._context.metrics.count("retries" if is_within else "retries_over_budget")
+        return is_within
 
     def _on_caller_gone(self, message: CallerGone) -> None:
         flight = self._flights.get(message.request_id)
@@ -339,7 +298,7 @@
             return
         self._context.metrics.count("callers_gone")
         self._cancel(flight)
-        self._fail(flight, message.code, "")
+        self._fail(flight, message.code)
 
     def _cancel(self, flight: Flight) -> None:
         self._service(flight.request.service).queue.remove(flight.request.request_id)
@@ -354,9 +313,9 @@
 
     def _on_report(self, message: AgentReport) -> None:
         agent = self._agents.get(message.agent)
-        if agent is None:
-            return
-        self._agents.note_report(agent, message.incarnation, message.headroom)
+        if agent is not None:
+            self._agents.note_report(agent, message.incarnation, message.headroom)
+            self._context.members.report(message.agent, True)
 
     def _on_silent(self, message: AgentSilent) -> None:
         agent = self._agents.get(message.agent)
@@ -373,12 +332,7 @@
     def _tick(self) -> None:
         now = self._now()
         for flight in list(self._flights.values()):
-            if flight.current is None:
-                if now >= flight.request.deadline:
-                    self._expire(flight)
-            elif now >= flight.request.deadline + DEADLINE_GRACE_SECONDS:
-                self._cancel(flight)
-                self._fail(flight, ResultCode.DEADLINE_EXCEEDED, "")
+            self._check_time(flight, now)
         cfg = self._context.replica.current()
         self._offers = {
             name: keys_on_offer(self._agents, cfg, name) for name in cfg.services
@@ -386,24 +340,27 @@
         for name, state in self._services.items():
             if len(state.queue):
                 self._agents.nudge(name)
+        self._agents.close_unused()
 
-    def _expire(self, flight: Flight) -> None:
-        self._service(flight.request.service).queue.remove(flight.request.request_id)
-        if flight.last_error is None:
-            self._fail(flight, ResultCode.DEADLINE_PASSED, "")
-        else:
-            self._fail(flight, flight.last_error.code, flight.last_error.message)
-
-    def _refuse(self, request_id: str, code: ResultCode) -> None:
-        self._fail(self._flights[request_id], code, "")
-
-    def _fail(self, flight: Flight, code: int, message: str) -> None:
+    def _check_time(self, flight: Flight, now: float) -> None:
+        req = flight.request
+        if flight.current is not None:
+            if now >= req.deadline + DEADLINE_GRACE_SECONDS:
+                self._cancel(flight)
+                self._fail(flight, ResultCode.DEADLINE_EXCEEDED)
+        elif now >= req.deadline:
+            self._service(req.service).queue.remove(req.request_id)
+            self._fail(flight, ResultCode.DEADLINE_PASSED)
+        elif now >= req.arrived_at + NO_SERVER_SECONDS and not self._agents.subset(
+            req.service
+        ):
+            self._service(req.service).queue.remove(req.request_id)
+            self._fail(flight, ResultCode.NO_BACKEND_SERVER)
+
+    def _fail(self, flight: Flight, code: int, message: str = "") -> None:
         self._flights.pop(flight.request.request_id, None)
-        code = final_code(
-            code, delivered=flight.reader.offset, may_have_run=flight.may_have_run
-        )
-        error = ResultError(code=_known(code), message=message)
-        refused = verdict_of(code).ran is Ran.NOT_RUN
+        error = error_of(flight, code, message)
+        refused = verdict_of(error.code).ran is Ran.NOT_RUN
         self._context.metrics.count(
             "requests_refused" if refused else "requests_failed"
         )
@@ -418,14 +375,3 @@
 
     def _now(self) -> float:
         return self._context.clock.monotonic()
-
-
-def _wire_bytes(req: CallerRequest) -> int:
-    return len(req.body) + 8 * req.max_tokens
-
-
-def _known(code: int) -> ResultCode:
-    try:
-        return ResultCode(code)
-    except ValueError:
-        return ResultCode.OUTCOME_UNKNOWN
--- a/packages/entry/eelgrassdale_entry/httpserver.py
+++ b/packages/entry/eelgrassdale_entry/httpserver.py
@@ -32,9 +32,18 @@
 class HandOver:
     """The connection of a request and who takes it over, if anyone."""
 
-    sock: socket.socket
+    conn: cheroot_server.HTTPConnection
     take_over: Callable[[socket.socket], None] | None = None
 
+    @property
+    def sock(self) -> socket.socket:
+        """Socket of the caller."""
+        return self.conn.socket
+
+    def request_read(self) -> None:
+        """Note that the whole request arrived, which ends its time limit."""
+        self.conn.server.watch.ended(self.conn)
+
 
 class HandOverGateway(wsgi.Gateway_10):
     """WSGI gateway that passes the socket on when the handler asks for it."""
@@ -42,7 +51,7 @@
     def get_environ(self):
         """Return the WSGI environment with a `HandOver` added."""
         env = super().get_environ()
-        env[HAND_OVER] = HandOver(sock=self.req.conn.socket)
+        env[HAND_OVER] = HandOver(conn=self.req.conn)
         return env
 
     def respond(self):
--- a/packages/entry/eelgrassdale_entry/intake.py
+++ b/packages/entry/eelgrassdale_entry/intake.py
@@ -3,11 +3,14 @@
 import socket
 from collections.abc import Callable
 
-from eelgrassdale.catalog import ServiceKind
+from attrs import evolve
+from expression import Error, Ok, Result
+
+from eelgrassdale.catalog import Service, ServiceKind
 from eelgrassdale.clock import Clock
 from eelgrassdale.results import ResultCode, ResultError
 from eelgrassdale.spread.replica import Replica
-from eelgrassdale.telemetry import Metrics, Tracer
+from eelgrassdale.telemetry import Metrics, SpanKind, Tracer
 from eelgrassdale_entry import answers, checks
 from eelgrassdale_entry.channel import Channel
 from eelgrassdale_entry.memory import ReaderMemory
@@ -15,6 +18,7 @@
     AnswerSink,
     CallerGone,
     CallerRequest,
+    HttpRequest,
     NewRequest,
 )
 from eelgrassdale_entry.writer import Writer
@@ -35,10 +39,10 @@
         post: Callable[[object], None],
         may_serve: Callable[[], bool],
     ) -> None:
-        self.tracer = tracer
         self._clock = clock
         self._replica = replica
         self._metrics = metrics
+        self._tracer = tracer
         self._memory = memory
         self._writer = writer
         self._post = post
@@ -70,93 +74,89 @@
         """Give a caller's socket to the writer task."""
         self._writer.adopt(sock, channel)
 
-    def submit(
-        self,
-        *,
-        request_id: str,
-        service: str,
-        kind: ServiceKind,
-        headers: checks.CallerHeaders,
-        body: bytes,
-        method: str,
-        path: str,
-        passed: dict[str, str],
-        traceparent: str,
-        sink: AnswerSink,
-    ) -> ResultError | None:
+    def submit(self, http: HttpRequest, sink: AnswerSink) -> ResultError | None:
         """Send a request to the dispatcher, or return why it is refused."""
         self._metrics.count("requests")
-        error = self._submit(
-            request_id,
-            service,
-            kind,
-            headers,
-            body,
-            method,
-            path,
-            passed,
-            traceparent,
-            sink,
-        )
+        headers = checks.check_headers(http.headers)
+        if headers.is_error():
+            error = headers.error
+        else:
+            error = self._submit_checked(http, headers.ok, sink)
         if error is not None:
             self._metrics.count("requests_refused")
         return error
 
-    def _submit(
-        self,
-        request_id,
-        service,
-        kind,
-        headers,
-        body,
-        method,
-        path,
-        passed,
-        traceparent,
-        sink,
+    def _submit_checked(
+        self, http: HttpRequest, headers: checks.CallerHeaders, sink: AnswerSink
     ) -> ResultError | None:
+        with self._tracer.span(
+            SpanKind.ENTRY,
+            traceparent=headers.traceparent,
+            service=http.service,
+            request_id=http.request_id,
+        ) as traceparent:
+            request = self._new_request(http, headers, sink, traceparent)
+            if request.is_error():
+                keyed = headers.key is not None
+                return checks.refusal(request.error, keyed=keyed)
+            self._post(NewRequest(request=request.ok))
+        return None
+
+    def _new_request(
+        self,
+        http: HttpRequest,
+        headers: checks.CallerHeaders,
+        sink: AnswerSink,
+        traceparent: str,
+    ) -> Result[CallerRequest, ResultError]:
         if self._is_leaving:
-            return ResultError(code=ResultCode.LEAVING)
+            return Error(ResultError(code=ResultCode.LEAVING))
         if not self._may_serve():
-            return ResultError(code=ResultCode.NOT_READY)
-        target = checks.check_target(self._replica.current(), service, kind, headers)
+            return Error(ResultError(code=ResultCode.NOT_READY))
+        if http.body is None:
+            return Error(ResultError(code=ResultCode.REQUEST_TOO_LARGE))
+        target = checks.check_target(
+            self._replica.current(), http.service, http.kind, headers
+        )
         if target.is_error():
-            return target.error
+            return Error(target.error)
         found, account = target.ok
-        prompt = None
-        if kind is ServiceKind.MODEL:
-            checked = checks.check_prompt(body)
-            if checked.is_error():
-                return checked.error
-            prompt = checked.ok
         now = self._clock.monotonic()
         deadline_ms = headers.deadline_ms or found.deadline_ms
-        tokens = prompt.tokens + prompt.max_tokens if prompt else 0
-        self._post(
-            NewRequest(
-                request=CallerRequest(
-                    request_id=request_id,
-                    service=service,
-                    kind=kind,
-                    account=account.name,
-                    weight=account.weight,
-                    priority=checks.queue_priority(account, headers),
-                    method=method,
-                    path=path,
-                    headers=passed,
-                    body=body,
-                    prompt_tokens=prompt.tokens if prompt else 0,
-                    max_tokens=prompt.max_tokens if prompt else 0,
-                    memory_bytes=tokens * found.token_bytes,
-                    idempotent=found.idempotent,
-                    key=headers.key,
-                    key_text=headers.key_text,
-                    arrived_at=now,
-                    deadline=now + deadline_ms / 1000,
-                    traceparent=traceparent,
-                    affinity=prompt.affinity if prompt else "",
-                    sink=sink,
-                )
-            )
+        request = CallerRequest(
+            request_id=http.request_id,
+            service=http.service,
+            kind=http.kind,
+            account=account.name,
+            weight=account.weight,
+            priority=checks.queue_priority(account, headers),
+            method=http.method,
+            path=http.path,
+            headers=checks.passed_headers(http.headers),
+            body=http.body,
+            idempotent=found.idempotent,
+            key=headers.key,
+            key_text=headers.key_text,
+            arrived_at=now,
+            deadline=now + deadline_ms / 1000,
+            traceparent=traceparent,
+            sink=sink,
         )
-        return None
+        if http.kind is ServiceKind.PLAIN:
+            return Ok(request)
+        return checks.check_prompt(http.body).map(
+            lambda prompt: _with_prompt(request, prompt, found)
+        )
+
+
+def _with_prompt(
+    request: CallerRequest, prompt: checks.Prompt, service: Service
+) -> CallerRequest:
+    tokens = prompt.tokens + prompt.max_tokens
+    return evolve(
+        request,
+        prompt_tokens=prompt.tokens,
+        max_tokens=prompt.max_tokens,
+        memory_bytes=tokens * service.token_bytes,
+        affinity=prompt.affinity,
+    )
--- a/packages/entry/eelgrassdale_entry/listing.py
+++ b/packages/entry/eelgrassdale_entry/listing.py
@@ -44,6 +44,7 @@
         replica: Replica,
         members: MembersView,
         offers: Callable[[str], list[tuple[str, int]]],
+        is_leaving: Callable[[], bool],
         keep_seconds: int,
         key_seconds: int,
     ) -> None:
@@ -53,6 +54,7 @@
         self._replica = replica
         self._members = members
         self._offers = offers
+        self._is_leaving = is_leaving
         self._keep_seconds = keep_seconds
         self._key_seconds = key_seconds
 
@@ -68,7 +70,7 @@
             return Error(ResultError(code=ResultCode.NO_BACKEND_SERVER))
         found = preferred_entries(
             cfg=cfg,
-            entries=self._members.current().live_entry_nodes(),
+            entries=self._live_entry_nodes(),
             place=self._place,
             topic=self._name,
         )
@@ -83,6 +85,12 @@
             }
         )
 
+    def _live_entry_nodes(self) -> tuple[Member, ...]:
+        live = self._members.current().live_entry_nodes()
+        if not self._is_leaving():
+            return live
+        return tuple(member for member in live if member.name != self._name)
+
     def _issue(self, service: str, count: int) -> list[str]:
         offers = self._offers(service)
         if not offers:
--- a/packages/entry/eelgrassdale_entry/messages.py
+++ b/packages/entry/eelgrassdale_entry/messages.py
@@ -23,6 +23,10 @@
         """Turn a reservation into bytes that `write` will be given."""
         ...
 
+    def delivered(self) -> int:
+        """Return the bytes of the answer given to `write` so far."""
+        ...
+
     def write(self, frame: Frame, data: bytes) -> None:
         """Add the next bytes of the answer."""
         ...
@@ -36,6 +40,19 @@
         ...
 
 
+@frozen(kw_only=True)
+class HttpRequest:
+    """One request as it came over HTTP; `body` is None when it is too large."""
+
+    request_id: str
+    service: str
+    kind: ServiceKind
+    method: str
+    path: str
+    headers: Mapping[str, str]
+    body: bytes | None
+
+
 @frozen(kw_only=True, eq=False)
 class CallerRequest:
     """One checked request of a caller; times are monotonic seconds."""
@@ -101,7 +118,6 @@
     request_id: str
     attempt: int
     agent: str
-    incarnation: int
     headroom: Headroom | None
     model_version: str
 
--- a/packages/entry/eelgrassdale_entry/program.py
+++ b/packages/entry/eelgrassdale_entry/program.py
@@ -10,6 +10,7 @@
 from eelgrassdale.clock import Clock
 from eelgrassdale.identity import Role
 from eelgrassdale.node.context import NodeContext, new_context
+from eelgrassdale.node.links import LEAVING
 from eelgrassdale.node.runtime import NodeRuntime
 from eelgrassdale.results import ResultCode
 from eelgrassdale.routing.choice import Place
@@ -25,7 +26,8 @@
 from eelgrassdale_entry.handler import EntryHandler
 from eelgrassdale_entry.httpserver import CallerServer
 from eelgrassdale_entry.intake import Intake
-from eelgrassdale_entry.links import AgentLink, LinkContext
+from eelgrassdale_entry.linkcontext import LinkContext
+from eelgrassdale_entry.links import AgentLink
 from eelgrassdale_entry.listing import Listing
 from eelgrassdale_entry.memory import ReaderMemory
 from eelgrassdale_entry.messages import TopologyChanged
@@ -173,6 +175,7 @@
             replica=context.replica,
             members=context.members,
             offers=self.dispatcher.offers,
+            is_leaving=lambda: self.runtime.state() == LEAVING,
             keep_seconds=self._cfg.keep_seconds,
             key_seconds=self._cfg.key_seconds,
         )
--- a/packages/entry/eelgrassdale_entry/sinks.py
+++ b/packages/entry/eelgrassdale_entry/sinks.py
@@ -26,6 +26,10 @@
         """Turn a reservation into bytes that `write` will be given."""
         self.channel.settle(reserved=reserved, received=received)
 
+    def delivered(self) -> int:
+        """Return the bytes of the answer given to `write` so far."""
+        return self.channel.written
+
 
 class StreamSink(_ChannelSink):
     """Writes generated text as chunked JSON lines.
