--- a/packages/agent/eelgrassdale_agent/program.py
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -61,7 +61,10 @@
         )
         self._stopping = threading.Event()
         self._server = NodeServer(
-            service=AgentService, handler=self.handler, address=cfg.node_address
+            service=AgentService,
+            handler=self.handler,
+            address=cfg.node_address,
+            on_bytes=self.runtime.count_served_bytes,
         )
 
     def start(self) -> None:
--- a/packages/core/eelgrassdale/node/runtime.py
+++ b/packages/core/eelgrassdale/node/runtime.py
@@ -50,13 +50,18 @@
         Settings of the process.
     context : NodeContext
         What the tasks of the process share.
+
+    Attributes
+    ----------
+    store : ObjectStore
+        Client of the object API, with the call budget of the process.
     """
 
     def __init__(self, *, cfg: NodeSettings, context: NodeContext) -> None:
         self._cfg = cfg
         self._context = context
         self._table: MembersTable = context.members
-        self._store = ObjectStore(url=cfg.object_api_url, metrics=context.metrics)
+        self.store = ObjectStore(url=cfg.object_api_url, metrics=context.metrics)
         self._vm_client = VmListClient(url=cfg.vm_list_url)
         self._links = PeerLinks(context=context)
         self._pushes = ThreadPoolExecutor(PUSH_THREADS, thread_name_prefix="push")
@@ -91,7 +96,7 @@
         self._pushes.shutdown(wait=False, cancel_futures=True)
         self._probes.shutdown(wait=False, cancel_futures=True)
         self._links.close()
-        self._store.close()
+        self.store.close()
         self._vm_client.close()
 
     def leave(self) -> None:
@@ -234,7 +239,7 @@
             "silence": silence.step,
         }
         if context.identity.role is Role.ENTRY:
-            watch = WatchTask(context=context, links=links, store=self._store)
+            watch = WatchTask(context=context, links=links, store=self.store)
             steps |= {"watch": watch.step, "push": self._push.step}
         return [Loop(name=name, step=step) for name, step in steps.items()]
 
@@ -266,8 +271,8 @@
             self._ready.set()
 
     def _read_store(self) -> None:
-        read = self._store.get(HEAD_NAME).bind(
-            lambda value: take_head(self._context, self._store, value)
+        read = self.store.get(HEAD_NAME).bind(
+            lambda value: take_head(self._context, self.store, value)
         )
         if read.is_error():
             log.warning("store not read at start", error=read.error.message)
--- a/packages/entry/eelgrassdale_entry/program.py
+++ b/packages/entry/eelgrassdale_entry/program.py
@@ -19,6 +19,7 @@
 from eelgrassdale.telemetry import configure_logs
 from eelgrassdale.wire import NodeServer, NodeService
 from eelgrassdale.wire.client import parse_address
+from eelgrassdale_entry.admin import AdminContext, AdminServer
 from eelgrassdale_entry.agents import AgentTable
 from eelgrassdale_entry.bulkheads import Bulkheads
 from eelgrassdale_entry.callers import CallerContext, new_application
@@ -82,9 +83,10 @@
             service=NodeService,
             handler=EntryHandler(runtime=self.runtime, memory=self.memory),
             address=cfg.node_address,
+            on_bytes=self.runtime.count_served_bytes,
         )
         self.caller_server = self._new_caller_server()
-        self.admin_server = None
+        self.admin_server = self._new_admin_server()
 
     def start(self) -> None:
         """Bind all addresses, then start the tasks.
@@ -97,6 +99,8 @@
         """
         self.node_server.start()
         self.caller_server.start_serving()
+        if self.admin_server is not None:
+            self.admin_server.start_serving()
         self.writer.start()
         self.dispatcher.start()
         self.runtime.start()
@@ -107,6 +111,8 @@
 
     def stop(self) -> None:
         """Stop at once; `drain` comes before it in a graceful stop."""
+        if self.admin_server is not None:
+            self.admin_server.stop()
         self.caller_server.stop()
         self.dispatcher.stop()
         self.writer.stop()
@@ -197,6 +203,18 @@
             sender_seconds=self._cfg.sender_seconds,
         )
 
+    def _new_admin_server(self) -> AdminServer | None:
+        if not self._cfg.admin_address:
+            return None
+        return AdminServer(
+            address=self._cfg.admin_address,
+            context=AdminContext(
+                node=self._context,
+                store=self.runtime.store,
+                operator_tokens=self._cfg.operator_tokens,
+            ),
+        )
+
     def _health(self) -> tuple[bool, dict]:
         state = self.runtime.state()
         generation = self._context.replica.current().generation
