--- a/packages/agent/eelgrassdale_agent/transfer.py
+++ b/packages/agent/eelgrassdale_agent/transfer.py
@@ -6,6 +6,7 @@
 import structlog
 from attrs import frozen
 
+from eelgrassdale.catalog import Configuration
 from eelgrassdale.node.context import NodeContext
 from eelgrassdale.platform.weightsource import WeightSourceClient
 from eelgrassdale.results import ResultCode
@@ -126,6 +127,7 @@
         self._state = LoadState.EMPTY
         self._blocked_by = ""
         self._target: Target | None = None
+        self._derived: tuple[Configuration | None, Target | None] = (None, None)
         self._store: ChunkStore | None = None
         self._peer_masks: Mapping[str, int] = {}
         self._engine = EngineState(
@@ -286,8 +288,13 @@
         return self._store
 
     def _configured(self) -> Target | None:
+        """Return the target of the configuration in force."""
         cfg = self._context.replica.current()
-        return target_of(cfg, self._context.identity.name)
+        known, target = self._derived
+        if cfg is not known:
+            target = target_of(cfg, self._context.identity.name)
+            self._derived = (cfg, target)
+        return target
 
     def _is_current(self) -> bool:
         """Return whether the pursued target is still the configured one."""
--- a/packages/agent/eelgrassdale_agent/transfer_run.py
+++ b/packages/agent/eelgrassdale_agent/transfer_run.py
@@ -5,6 +5,7 @@
 import structlog
 from attrs import evolve, frozen
 
+from eelgrassdale.membership.members import Members
 from eelgrassdale.node.context import NodeContext
 from eelgrassdale.results import ResultCode
 from eelgrassdale.weights.holders import ChunkTimes, Holder
@@ -24,7 +25,9 @@
 from eelgrassdale_agent.transfer_store import ChunkStore
 from eelgrassdale_agent.transfer_target import Target, routes_of, unavailable
 
-TICK_SECONDS = 0.05
+# A busy holder is asked again after about one chunk time, so a free lane must
+# not sleep much longer than that.
+TICK_SECONDS = 0.01
 ENGINE_RETRY_SECONDS = 0.5
 # Chunk reads that a holder may have queued before this one.
 EXPECTED_QUEUE = 4
@@ -86,6 +89,7 @@
         self._engine_retry_at = 0.0
         self._region = {place.name: place.region for place in target.agents}
         self._plan = self._new_plan()
+        self._members: Members | None = None
         self.blocked_by = ""
         times = self._expected_times()
         self._state = TransferState(
@@ -127,11 +131,17 @@
             self._target = target
             self._region = {place.name: place.region for place in target.agents}
             self._plan = self._new_plan()
-        gone = unavailable(self._target, self._context.members.current())
-        if gone != self._state.unavailable:
-            self._state = evolve(self._state, unavailable=gone)
+            self._members = None
+        self._follow_members()
         return True
 
+    def _follow_members(self) -> None:
+        members = self._context.members.current()
+        if members is not self._members:
+            self._members = members
+            gone = unavailable(self._target, members)
+            self._state = evolve(self._state, unavailable=gone)
+
     def _new_plan(self) -> Plan:
         routes = routes_of(
             self._target, self._store.manifest.count, self._cfg.origin_region
--- a/packages/agent/eelgrassdale_agent/transfer_serving.py
+++ b/packages/agent/eelgrassdale_agent/transfer_serving.py
@@ -10,7 +10,9 @@
 from eelgrassdale_agent.transfer_store import ChunkStore
 
 BYTES_SENT = "weights_bytes_sent"
-MAX_SENDING = 4
+# Reads that share the link before others are refused. With 2, 20 agents took
+# 1.44x the ideal time in a trial, with 8 they took 1.14x.
+MAX_SENDING = 8
 MAX_WAITING = 32
 MAX_WAIT_SECONDS = 5.0
 
--- a/packages/core/eelgrassdale/weights/selection.py
+++ b/packages/core/eelgrassdale/weights/selection.py
@@ -9,7 +9,9 @@
 
 FEED_LANES = 2
 PEER_LANES = 4
-READS_PER_PEER = 2
+# One read at a time spreads the reads over more holders: with two, 20 agents
+# took 1.19x instead of 1.13x the ideal time in a trial.
+READS_PER_PEER = 1
 # Agents that may draw a chunk from the source one after another. Further ones
 # join only after SOURCE_ESCALATION_SECONDS each, so that the death of an owner
 # does not send all agents of its data centre to the origin.
