--- a/packages/standins/eelgrassdale_standins/commands.py
+++ b/packages/standins/eelgrassdale_standins/commands.py
@@ -131,6 +131,7 @@
         url_of(addresses.backend[agent.name]),
         *sources,
         *link,
+        *topology.agent_options,
     )
     return program_arguments(AGENT_PROGRAM, options)
 
--- a/packages/standins/eelgrassdale_standins/topology.py
+++ b/packages/standins/eelgrassdale_standins/topology.py
@@ -82,6 +82,8 @@
         limit.
     backend_options : Mapping of str to tuple
         Further options of the backend servers by service.
+    agent_options : tuple
+        Further options of every agent.
     """
 
     data_centres: tuple[DataCentre, ...]
@@ -95,6 +97,7 @@
     link_bytes_per_second: int = 0
     backend_options: Mapping[str, tuple[object, ...]] = attrs.Factory(dict)
     is_model_loaded: bool = True
+    agent_options: tuple[object, ...] = ()
 
     def service(self, name: str) -> Service:
         """Return a service by name."""
