Let received chunks pass the link before those to be sent

Some agents complete long before others; the idea was that an agent which many peers ask should not be delayed by them.

--- a/packages/agent/eelgrassdale_agent/transfer.py
+++ b/packages/agent/eelgrassdale_agent/transfer.py
@@ -175,11 +175,9 @@
     def facts(self) -> dict[str, str]:
         """Return the facts for `status`."""
         target, store = self._target, self._store
-        held = store.held.bit_count() if store else 0
-        total = store.manifest.count if store else 0
         return {
             "load_state": self.load_state(),
-            "weights_progress": f"{held}/{total}",
+            "weights_progress": held_text(store) if store else "0/0",
             "weights_blocked_by": self._blocked_by,
             "weights_target": target.model.name if target else "",
             "weights_manifest": target.model.manifest if target else "",
@@ -242,13 +240,16 @@
             self._wait(RETRY_SECONDS)
             return
         drop_unstaged(self._orders, store)
+        log.info("weights wanted", version=target.model.name, chunks=held_text(store))
         code = self._transfer(target, store)
         if code is ResultCode.OK:
+            log.info("weights complete", version=target.model.name)
             self._set_state(LoadState.WAITING, "")
             code = self._loader.load(target, store, self._engine.model_version)
         if code is ResultCode.OK:
             self._loaded_at = self._context.clock.monotonic()
             self._set_state(LoadState.COLD, "")
+            log.info("weights loaded", version=target.model.name)
         elif code is ResultCode.VERSION_CHANGED and self._is_current():
             self._wait(RETRY_SECONDS)
 
@@ -350,3 +351,8 @@
             clock=self._context.clock,
             envelope=lambda seconds: envelope_of(self._context, seconds),
         )
+
+
+def held_text(store: ChunkStore) -> str:
+    """Return the number of chunks held and of all chunks, as `held/total`."""
+    return f"{store.held.bit_count()}/{store.manifest.count}"
--- a/packages/agent/eelgrassdale_agent/transfer_pacing.py
+++ b/packages/agent/eelgrassdale_agent/transfer_pacing.py
@@ -52,7 +52,9 @@
                 updated_at=self._bucket.updated_at,
             )
 
-    def use(self, size: int, *, model: str, priority: int) -> bool:
+    def use(
+        self, size: int, *, model: str, priority: int, is_received: bool = False
+    ) -> bool:
         """Wait for the link, then take `size` bytes of it.
 
         Returns
@@ -64,7 +66,7 @@
         if self._bucket.rate <= 0:
             return not self._stopped
         with self._cond:
-            item = self._enqueue(size, model, priority)
+            item = self._enqueue(size, model, priority, is_received)
             try:
                 return self._wait_for_turn(item)
             finally:
@@ -77,9 +79,17 @@
             self._stopped = True
             self._cond.notify_all()
 
-    def _enqueue(self, size: int, model: str, priority: int) -> Waiting:
+    def _enqueue(
+        self, size: int, model: str, priority: int, is_received: bool
+    ) -> Waiting:
         self._count += 1
-        item = Waiting(number=self._count, model=model, priority=priority, size=size)
+        item = Waiting(
+            number=self._count,
+            model=model,
+            priority=priority,
+            size=size,
+            is_received=is_received,
+        )
         self._waiting[item.number] = item
         # A model that starts late does not get back the share it left unused.
         floor = min(self._passed.values(), default=0)
--- a/packages/core/eelgrassdale/weights/selection.py
+++ b/packages/core/eelgrassdale/weights/selection.py
@@ -26,6 +26,8 @@
 BUDGET_REFILL_SECONDS = 10.0
 WAIT_AT_OWNER_SECONDS = 1.0
 HEDGE_MIN_SECONDS = 0.5
+# Peers drawn by hash, of which the one with the most chunks is asked.
+CHOICES = 2
 
 
 def choose(plan: Plan, state: TransferState, now: float) -> Fetch | None:
@@ -110,31 +112,37 @@
 
 
 def _known(plan: Plan, state: TransferState, missing: int, now: float) -> Fetch | None:
-    """Return a read from a peer of the data centre that has a missing chunk."""
-    best = None
+    """Return a read from a peer of the data centre that has a missing chunk.
+
+    Of two peers drawn by hash, the one with more chunks is asked. It needs
+    its link less for itself, so agents that are behind catch up and all end at
+    about the same time.
+    """
+    offers = []
     for name in plan.owned:
         holder = state.holders.get(name)
         if holder is None or not holder.held & missing:
             continue
-        if not _may_ask(state, name, now):
-            continue
-        rank = (holder.outstanding, _tie(plan, state, name))
-        if best is None or rank < best[0]:
-            best = (rank, name, holder.held & missing)
-    if best is None:
+        if _may_ask(state, name, now):
+            offers.append((_tie(plan, state, name), name, holder.held))
+    if not offers:
         return None
-    _, name, offered = best
-    start = _tie(plan, state, name) % plan.routes.count
-    return _read(state, _first_bit_from(offered, start), name)
+    tie, name, held = max(
+        sorted(offers)[:CHOICES], key=lambda offer: offer[2].bit_count()
+    )
+    return _read(state, _first_bit_from(held & missing, tie % plan.routes.count), name)
 
 
 def _waiting(
     plan: Plan, state: TransferState, missing: int, now: float
 ) -> Fetch | None:
-    """Return a read that waits at an owner for a chunk it is fetching."""
+    """Return a read that waits at an owner for a chunk it is fetching.
+
+    The chunks of an owner that is passed over are expected at the agent that
+    is next in order for each.
+    """
     best = None
-    for name, owned in plan.owned.items():
-        wanted = missing & owned
+    for name, wanted in _expected_at(plan, state, missing, now):
         if name == plan.me.name or not wanted or not _may_ask(state, name, now):
             continue
         holder = state.holders.get(name, Holder())
@@ -148,6 +156,22 @@
     return _read(state, index, name, wait=WAIT_AT_OWNER_SECONDS)
 
 
+def _expected_at(
+    plan: Plan, state: TransferState, missing: int, now: float
+) -> Iterator[tuple[str, int]]:
+    """Yield agents of the data centre and the missing chunks expected there."""
+    skipped = skipped_names(state.holders, now) | state.unavailable
+    for name, owned in plan.owned.items():
+        if name not in skipped:
+            yield name, missing & owned
+            continue
+        for index in bits(missing & owned):
+            order = owner_order(plan.routes, plan.me.data_centre, index)
+            live = next((other for other in order if other not in skipped), "")
+            if live:
+                yield live, 1 << index
+
+
 def _hedge(plan: Plan, state: TransferState, now: float) -> Fetch | None:
     """Return a second read of a chunk whose first read takes too long."""
     limit = max(HEDGE_MIN_SECONDS, 2 * state.times.upper)
