--- a/packages/agent/eelgrassdale_agent/transfer_lanes.py
+++ b/packages/agent/eelgrassdale_agent/transfer_lanes.py
@@ -132,12 +132,7 @@
             result = self._reader.from_peer(store.manifest, fetch, order.address)
         if result.data:
             self._metrics.count(_byte_counter(order), len(result.data))
-            self._link.use(
-                len(result.data),
-                model=model,
-                priority=order.priority,
-                is_received=True,
-            )
+            self._link.use(len(result.data), model=model, priority=order.priority)
         if result.code is not ResultCode.OK:
             return result
         return self._keep(order, result)
--- a/packages/agent/eelgrassdale_agent/transfer_pacing.py
+++ b/packages/agent/eelgrassdale_agent/transfer_pacing.py
@@ -52,9 +52,7 @@
                 updated_at=self._bucket.updated_at,
             )
 
-    def use(
-        self, size: int, *, model: str, priority: int, is_received: bool = False
-    ) -> bool:
+    def use(self, size: int, *, model: str, priority: int) -> bool:
         """Wait for the link, then take `size` bytes of it.
 
         Returns
@@ -66,7 +64,7 @@
         if self._bucket.rate <= 0:
             return not self._stopped
         with self._cond:
-            item = self._enqueue(size, model, priority, is_received)
+            item = self._enqueue(size, model, priority)
             try:
                 return self._wait_for_turn(item)
             finally:
@@ -79,17 +77,9 @@
             self._stopped = True
             self._cond.notify_all()
 
-    def _enqueue(
-        self, size: int, model: str, priority: int, is_received: bool
-    ) -> Waiting:
+    def _enqueue(self, size: int, model: str, priority: int) -> Waiting:
         self._count += 1
-        item = Waiting(
-            number=self._count,
-            model=model,
-            priority=priority,
-            size=size,
-            is_received=is_received,
-        )
+        item = Waiting(number=self._count, model=model, priority=priority, size=size)
         self._waiting[item.number] = item
         # A model that starts late does not get back the share it left unused.
         floor = min(self._passed.values(), default=0)
--- a/packages/core/eelgrassdale/weights/pacing.py
+++ b/packages/core/eelgrassdale/weights/pacing.py
@@ -50,17 +50,12 @@
 
 @frozen(kw_only=True)
 class Waiting:
-    """A transfer that waits for the link; `number` is its place of arrival.
-
-    A chunk that `is_received` has used the link already and waits to be
-    accounted for; one that is to be sent has not.
-    """
+    """A transfer that waits for the link; `number` is its place of arrival."""
 
     number: int
     model: str
     priority: int
     size: int
-    is_received: bool = False
 
 
 def next_waiting(
@@ -68,10 +63,9 @@
 ) -> Waiting | None:
     """Return the transfer that uses the link next.
 
-    The highest priority goes first, and of equal priority what was received:
-    an agent that many peers ask would otherwise complete last. Models of equal
-    priority share the link evenly: the one with the fewest bytes so far is
-    next, and within a model the order is that of arrival.
+    The highest priority goes first. Models of equal priority share the link
+    evenly: the one with the fewest bytes so far is next, and within a model
+    the order is that of arrival.
 
     Examples
     --------
@@ -87,7 +81,6 @@
         waiting.values(),
         key=lambda item: (
             -item.priority,
-            not item.is_received,
             sent.get(item.model, 0),
             item.number,
         ),
