Give backend calls their own timeout and check callers without waiting

A reservation of 1.5 s failed with BACKEND_FAILED, and every plain call over 0.25 s was answered after 10 s and cancelled at the agent.

Agent (backend.py): urllib3's getresponse sets the socket's timeout to that of the connection, which was the connect timeout of 1 s.

Entry node (callers.py): a socket with a timeout waits for data before recv, also with MSG_DONTWAIT, and then raises TimeoutError, which counted as a caller that left. The socket is polled with a timeout of 0 instead.

--- a/packages/agent/eelgrassdale_agent/backend.py
+++ b/packages/agent/eelgrassdale_agent/backend.py
@@ -107,6 +107,8 @@
                 ResultCode.NO_BACKEND_SERVER, repr(exc), is_lost=True
             ) from exc
         self._socket = self._conn.sock
+        # `getresponse` sets the socket's timeout to that of the connection.
+        self._conn.timeout = self._timeout_seconds
         self._socket.settimeout(self._timeout_seconds)
         if self._aborted:
             self.abort()
--- a/packages/entry/eelgrassdale_entry/callers.py
+++ b/packages/entry/eelgrassdale_entry/callers.py
@@ -2,6 +2,7 @@
 
 import json
 import secrets
+import select
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
@@ -277,9 +278,13 @@
 
 
 def _has_left(sock: socket.socket) -> bool:
-    try:
-        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except BlockingIOError:
+    # A socket with a timeout waits for data before `recv`, also with
+    # MSG_DONTWAIT, and then reports the timeout as an error.
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    if not poller.poll(0):
         return False
+    try:
+        return sock.recv(1, socket.MSG_PEEK) == b""
     except OSError:
         return True
