--- a/packages/standins/eelgrassdale_standins/commands.py
+++ b/packages/standins/eelgrassdale_standins/commands.py
@@ -107,6 +107,8 @@
         addresses.admin[entry.name],
         "--operator-token",
         OPERATOR_TOKEN,
+        "--keep-seconds",
+        topology.keep_seconds,
     )
     return program_arguments(ENTRY_PROGRAM, ("serve", *options))
 
--- a/packages/standins/eelgrassdale_standins/topology.py
+++ b/packages/standins/eelgrassdale_standins/topology.py
@@ -82,6 +82,11 @@
         limit.
     backend_options : Mapping of str to tuple
         Further options of the backend servers by service.
+    is_model_loaded : bool
+        Whether the engines have the first model at the start.
+    keep_seconds : int
+        How long callers keep a list of entry nodes, which a graceful stop of an
+        entry node waits for.
     """
 
     data_centres: tuple[DataCentre, ...]
@@ -95,6 +100,7 @@
     link_bytes_per_second: int = 0
     backend_options: Mapping[str, tuple[object, ...]] = attrs.Factory(dict)
     is_model_loaded: bool = True
+    keep_seconds: int = 2
 
     def service(self, name: str) -> Service:
         """Return a service by name."""
