Group pusher candidates once for a change

Cause: push_targets listed and sorted the live entry nodes again for each agent, so its CPU time grew with the square of the fleet. Ruled out: the rendezvous hash itself; choose_subset ranks 950 names in 0.7 ms.

--- a/packages/core/eelgrassdale/spread/watchers.py
+++ b/packages/core/eelgrassdale/spread/watchers.py
@@ -5,10 +5,14 @@
 both act, which costs a few messages and is otherwise harmless.
 """
 
+import heapq
 import random
-from collections.abc import Sequence
+from collections import defaultdict
+from collections.abc import Mapping, Sequence
 
-from eelgrassdale.hashing import rendezvous_order
+from attrs import frozen
+
+from eelgrassdale.hashing import rendezvous_order, rendezvous_weight
 from eelgrassdale.identity import Identity, Role
 from eelgrassdale.membership.members import Member, Members, MemberState
 
@@ -50,10 +54,11 @@
             for member in _reachable(members, Role.ENTRY)
             if member.data_centre == me.data_centre and member.name != me.name
         )
+    candidates = _pusher_candidates(members)
     agents = tuple(
         member
         for member in _reachable(members, Role.BACKEND)
-        if me.name in pushers_of(members, member)
+        if me.name in _first_pushers(candidates, member)
     )
     return entry_nodes + agents
 
@@ -64,13 +69,44 @@
     Without a live entry node in its data centre, entry nodes of its region
     and then any others take over.
     """
+    return _first_pushers(_pusher_candidates(members), agent)
+
+
+@frozen(kw_only=True)
+class _PusherCandidates:
+    """Names of the live entry nodes, grouped once for all agents."""
+
+    by_data_centre: Mapping[str, list[str]]
+    by_region: Mapping[str, list[str]]
+    everywhere: list[str]
+
+
+def _pusher_candidates(members: Members) -> _PusherCandidates:
+    by_data_centre: dict[str, list[str]] = defaultdict(list)
+    by_region: dict[str, list[str]] = defaultdict(list)
     alive = members.live_entry_nodes()
-    local = [m.name for m in alive if m.data_centre == agent.data_centre]
-    regional = [m.name for m in alive if m.region == agent.region]
-    names = local or regional or [m.name for m in alive]
-    return rendezvous_order(topic=f"push/{agent.name}", members=names)[
-        :PUSHERS_PER_AGENT
-    ]
+    for member in alive:
+        by_data_centre[member.data_centre].append(member.name)
+        by_region[member.region].append(member.name)
+    return _PusherCandidates(
+        by_data_centre=by_data_centre,
+        by_region=by_region,
+        everywhere=[member.name for member in alive],
+    )
+
+
+def _first_pushers(candidates: _PusherCandidates, agent: Member) -> list[str]:
+    names = (
+        candidates.by_data_centre.get(agent.data_centre)
+        or candidates.by_region.get(agent.region)
+        or candidates.everywhere
+    )
+    topic = f"push/{agent.name}"
+    return heapq.nlargest(
+        PUSHERS_PER_AGENT,
+        names,
+        key=lambda name: (rendezvous_weight(topic=topic, member=name), name),
+    )
 
 
 def compare_candidates(
--- a/packages/measures/eelgrassdale_measures/__main__.py
+++ b/packages/measures/eelgrassdale_measures/__main__.py
@@ -7,6 +7,8 @@
 import sys
 from collections.abc import Iterator
 
+from eelgrassdale.telemetry import configure_logs
+
 MEASURES = (
     "time_to_replicas",
     "slow_readers",
@@ -14,6 +16,7 @@
     "cost",
     "data_centre_change",
     "configuration_spread",
+    "state_size",
 )
 
 
@@ -60,6 +63,7 @@
     if unknown:
         print(f"no measurement {unknown}; known: {available()}", file=sys.stderr)
         return 2
+    configure_logs(log_format="json", level="warning")
     for line in lines(arguments or available()):
         print(json.dumps(line), flush=True)
     return 0
