--- a/packages/measures/eelgrassdale_measures/slopes.py
+++ b/packages/measures/eelgrassdale_measures/slopes.py
@@ -8,7 +8,7 @@
 
     Examples
     --------
-    >>> slope([1, 2, 4], [10, 12, 16])
+    >>> round(slope([1, 2, 4], [10, 12, 16]), 9)
     2.0
 
     """
@@ -26,7 +26,7 @@
 
     Examples
     --------
-    >>> at_size([1, 2, 4], [10, 12, 16], 8)
+    >>> round(at_size([1, 2, 4], [10, 12, 16], 8), 9)
     24.0
 
     """
