Add replay of routing decisions and tests of the request path

The pure decisions run under hypothesis with fixed seeds; `eelgrassdale trace replay` repeats recorded decisions against stated outcomes. The entry node runs in tests with agents that follow scripts.

Faults found by the tests and fixed here: a reader whose full socket had taken its last piece whole was never cut, because only pending bytes counted; an oversized body was answered by the server without a result code; a request refused by a full queue now says whether its account exceeds its share.

--- a/packages/core/eelgrassdale/routing/fairqueue.py
+++ b/packages/core/eelgrassdale/routing/fairqueue.py
@@ -18,6 +18,17 @@
     item: Any = None
 
 
+@frozen(kw_only=True)
+class Displaced:
+    """A request refused by a full queue.
+
+    `over_share` is true when its account waits with more than its share.
+    """
+
+    queued: Queued
+    over_share: bool
+
+
 @define(kw_only=True)
 class _Account:
     weight: int
@@ -57,7 +68,7 @@
         """Iterate over the waiting requests in order of arrival."""
         return iter(list(self._by_id.values()))
 
-    def push(self, queued: Queued) -> Queued | None:
+    def push(self, queued: Queued) -> Displaced | None:
         """Add a request and return the one that is refused for it, if any.
 
         The refused request is the new one itself when it is the least
@@ -67,10 +78,11 @@
             self._add(queued, at_front=False)
             return None
         victim = self._least_entitled(queued)
+        over_share = self._is_over_share(victim, queued)
         if victim is not queued:
             self.remove(victim.request_id)
             self._add(queued, at_front=False)
-        return victim
+        return Displaced(queued=victim, over_share=over_share)
 
     def push_front(self, queued: Queued) -> None:
         """Return a request that left the queue and could not be served.
@@ -139,6 +151,12 @@
             ),
         )
 
+    def _is_over_share(self, victim: Queued, newcomer: Queued) -> bool:
+        weights = {name: account.weight for name, account in self._accounts.items()}
+        weights.setdefault(newcomer.account, max(newcomer.weight, 1))
+        fair = (self.limit + 1) / sum(weights.values())
+        return self._share(victim, newcomer) > fair
+
     def _share(self, queued: Queued, newcomer: Queued) -> float:
         account = self._accounts.get(queued.account)
         waiting = len(account.waiting) if account else 0
--- /dev/null
+++ b/packages/core/eelgrassdale/routing/tests/test_frames.py
@@ -0,0 +1,86 @@
+"""Tests that only the exact answer of an attempt is ever complete."""
+
+from types import SimpleNamespace
+
+import xxhash
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassdale.routing.frames import RESUME_BYTES, AnswerReader, FrameVerdict
+
+ANSWER = bytes(range(40))
+
+
+def frame(start, end, *, is_last=False, answer=ANSWER, **changes):
+    """Return a frame of a part of the answer."""
+    fields = {
+        "request_id": "r",
+        "attempt": 1,
+        "incarnation": 7,
+        "offset": start,
+        "data": answer[start:end],
+        "is_last": is_last,
+        "total_length": len(answer),
+        "digest": xxhash.xxh3_128_hexdigest(answer),
+        "code": 0,
+        **changes,
+    }
+    return SimpleNamespace(**fields)
+
+
+def reader() -> AnswerReader:
+    """Return a reader at the start of the answer."""
+    return AnswerReader(request_id="r", attempt=1, incarnation=7, keep_text=True)
+
+
+STRAYS = st.builds(
+    frame,
+    st.integers(0, 40),
+    st.integers(0, 41),
+    is_last=st.booleans(),
+    request_id=st.sampled_from(["r", "other"]),
+    attempt=st.sampled_from([1, 2]),
+    incarnation=st.sampled_from([7, 8]),
+    total_length=st.sampled_from([40, 39]),
+)
+
+
+@settings(derandomize=True, max_examples=500)
+@given(frames=st.lists(STRAYS, max_size=25))
+def test_late_crossed_and_duplicate_frames_never_change_the_answer(frames):
+    state = reader()
+    received = b""
+    for got in frames:
+        verdict = state.judge(got)
+        if verdict is FrameVerdict.DROP:
+            continue
+        if verdict is FrameVerdict.CORRUPT:
+            break
+        state.accept(got.data)
+        received += got.data
+        assert received == ANSWER[: len(received)]
+        if verdict is FrameVerdict.COMPLETE:
+            assert received == ANSWER
+            break
+
+
+def test_resumed_attempt_completes_with_the_digest_of_the_whole():
+    state = reader()
+    state.accept(ANSWER[:15])
+    assert state.text() == ANSWER[:15]
+    resumed = state.continued(attempt=2, incarnation=9)
+    rest = frame(15, 40, is_last=True, attempt=2, incarnation=9)
+    assert state.judge(rest) is FrameVerdict.DROP
+    assert resumed.judge(rest) is FrameVerdict.COMPLETE
+
+
+def test_wrong_length_is_corrupt():
+    assert reader().judge(frame(0, 40, is_last=True, total_length=41)) is (
+        FrameVerdict.CORRUPT
+    )
+
+
+def test_long_answer_is_not_kept_for_a_resumption():
+    state = reader()
+    state.accept(bytes(RESUME_BYTES + 1))
+    assert state.text() is None
--- /dev/null
+++ b/packages/core/eelgrassdale/routing/tests/test_retry.py
@@ -0,0 +1,64 @@
+"""Tests of retries and of the codes that remain after them."""
+
+import itertools
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from eelgrassdale.results import Ran, ResultCode, verdict_of
+from eelgrassdale.routing.outcomes import final_code, keyed_code
+from eelgrassdale.routing.regions import RegionBudget
+from eelgrassdale.routing.retry import BUDGET_START, RetryBudget, may_send_again
+
+
+@settings(derandomize=True, max_examples=200)
+@given(steps=st.lists(st.booleans(), max_size=400))
+def test_retries_stay_within_a_tenth_of_the_requests(steps):
+    budget = RetryBudget()
+    requests = retries = 0
+    for is_request in steps:
+        if is_request:
+            budget.add_request()
+            requests += 1
+        else:
+            retries += budget.take()
+        assert retries <= BUDGET_START + requests / 10
+
+
+def test_non_idempotent_work_is_sent_again_only_when_it_did_not_run():
+    for code in ResultCode:
+        if may_send_again(code=code, idempotent=False, keyed=False):
+            assert verdict_of(code).ran is Ran.NOT_RUN
+
+
+def test_keyed_work_is_never_sent_again():
+    assert not any(
+        may_send_again(code=code, idempotent=True, keyed=True) for code in ResultCode
+    )
+
+
+def test_keyed_refusal_of_this_node_says_not_run_only_for_wrong_keys():
+    """A repeat of the key through another entry node may have run."""
+    not_run = {
+        code for code in ResultCode if verdict_of(keyed_code(code)).ran is Ran.NOT_RUN
+    }
+    assert not_run == {ResultCode.KEY_NOT_ISSUED, ResultCode.KEY_MISMATCH}
+
+
+def test_refusal_after_a_lost_attempt_never_says_not_run():
+    for code, delivered in itertools.product(ResultCode, (0, 5)):
+        final = final_code(code, delivered=delivered, may_have_run=True)
+        assert verdict_of(final).ran is not Ran.NOT_RUN
+
+
+@settings(derandomize=True, max_examples=100)
+@given(asked=st.lists(st.tuples(st.floats(0, 1), st.integers(1, 300)), max_size=60))
+def test_bytes_between_regions_stay_within_rate_and_burst(asked):
+    budget = RegionBudget(bytes_per_second=100)
+    now = used = 0.0
+    for pause, count in asked:
+        now += pause
+        if budget.allows(count, now):
+            budget.charge(count, now)
+            used += count
+    assert used <= 100 * now + 200 + 300
--- a/packages/entry/eelgrassdale_entry/cli.py
+++ b/packages/entry/eelgrassdale_entry/cli.py
@@ -5,6 +5,7 @@
 from eelgrassdale import __version__
 from eelgrassdale_entry.commands.config import config
 from eelgrassdale_entry.commands.serve import serve
+from eelgrassdale_entry.commands.trace import trace
 
 
 @click.group()
@@ -19,6 +20,7 @@
 
 main.add_command(config)
 main.add_command(serve)
+main.add_command(trace)
 
 
 if __name__ == "__main__":
--- a/packages/entry/eelgrassdale_entry/dispatcher.py
+++ b/packages/entry/eelgrassdale_entry/dispatcher.py
@@ -164,9 +164,14 @@
             return
         state = self._service(req.service)
         state.budget.add_request()
-        victim = state.queue.push(flight.queued)
-        if victim is not None:
-            self._fail(self._flights[victim.request_id], ResultCode.QUEUE_FULL)
+        displaced = state.queue.push(flight.queued)
+        if displaced is not None:
+            code = (
+                ResultCode.ACCOUNT_LIMIT
+                if displaced.over_share
+                else ResultCode.QUEUE_FULL
+            )
+            self._fail(self._flights[displaced.queued.request_id], code)
 
     def _send_keyed(self, flight: Flight) -> None:
         key = flight.request.key
@@ -315,6 +320,8 @@
         agent = self._agents.get(message.agent)
         if agent is not None:
             self._agents.note_report(agent, message.incarnation, message.headroom)
+        if message.is_poll:
+            # Stands for a probe, which the runtime then saves.
             self._context.members.report(message.agent, True)
 
     def _on_silent(self, message: AgentSilent) -> None:
--- a/packages/entry/eelgrassdale_entry/httpserver.py
+++ b/packages/entry/eelgrassdale_entry/httpserver.py
@@ -139,8 +139,6 @@
         WSGI application.
     threads : int
         Number of worker threads.
-    max_body_bytes : int
-        Largest accepted request body.
     sender_seconds : float
         Time within which a request must have arrived, and idle time after
         which a connection is closed.
@@ -154,7 +152,6 @@
         address: tuple[str, int],
         application,
         threads: int,
-        max_body_bytes: int,
         sender_seconds: float,
     ) -> None:
         super().__init__(
@@ -170,7 +167,6 @@
         self.gateway = HandOverGateway
         self.keep_alive_conn_limit = KEEP_ALIVE_CONNECTIONS
         self.max_request_header_size = MAX_HEADER_BYTES
-        self.max_request_body_size = max_body_bytes
         self.watch = SlowSenderWatch(limit_seconds=sender_seconds)
         self._served = threading.Event()
 
--- a/packages/entry/eelgrassdale_entry/messages.py
+++ b/packages/entry/eelgrassdale_entry/messages.py
@@ -140,11 +140,12 @@
 
 @frozen(kw_only=True)
 class AgentReport:
-    """Headroom by service that came back with a poll."""
+    """Headroom by service that came back with a poll or a probe."""
 
     agent: str
     incarnation: int
     headroom: Mapping[str, Headroom]
+    is_poll: bool = True
 
 
 @frozen(kw_only=True)
--- a/packages/entry/eelgrassdale_entry/program.py
+++ b/packages/entry/eelgrassdale_entry/program.py
@@ -9,6 +9,7 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.identity import Role
+from eelgrassdale.membership.members import Member
 from eelgrassdale.node.context import NodeContext, new_context
 from eelgrassdale.node.links import LEAVING
 from eelgrassdale.node.runtime import NodeRuntime
@@ -17,7 +18,7 @@
 from eelgrassdale.routing.regions import RegionBudget
 from eelgrassdale.settings import EXIT_SETTINGS_INVALID
 from eelgrassdale.telemetry import configure_logs
-from eelgrassdale.wire import NodeServer, NodeService
+from eelgrassdale.wire import NodeServer, NodeService, ProbeAnswer
 from eelgrassdale.wire.client import parse_address
 from eelgrassdale_entry.agents import AgentTable
 from eelgrassdale_entry.bulkheads import Bulkheads
@@ -30,7 +31,7 @@
 from eelgrassdale_entry.links import AgentLink
 from eelgrassdale_entry.listing import Listing
 from eelgrassdale_entry.memory import ReaderMemory
-from eelgrassdale_entry.messages import TopologyChanged
+from eelgrassdale_entry.messages import AgentReport, TopologyChanged
 from eelgrassdale_entry.settings import EntrySettings
 from eelgrassdale_entry.writer import Writer
 
@@ -101,6 +102,7 @@
         self.dispatcher.start()
         self.runtime.start()
         # Subscribed last, since a callback posts to the dispatcher.
+        self.runtime.subscribe_probes(self._probed)
         self._context.replica.subscribe(self._topology_changed)
         self._context.members.subscribe(self._topology_changed)
         self._topology_changed()
@@ -132,6 +134,17 @@
     def _topology_changed(self, _: object = None) -> None:
         self.dispatcher.post(TopologyChanged())
 
+    def _probed(self, member: Member, answer: ProbeAnswer) -> None:
+        if answer.headroom:
+            self.dispatcher.post(
+                AgentReport(
+                    agent=member.name,
+                    incarnation=answer.incarnation,
+                    headroom=answer.headroom,
+                    is_poll=False,
+                )
+            )
+
     def _place(self) -> Place:
         return Place(data_centre=self._cfg.data_centre, region=self._cfg.region)
 
@@ -193,7 +206,6 @@
             address=(address.host, address.port),
             application=application,
             threads=self._cfg.caller_threads,
-            max_body_bytes=self._cfg.max_body_bytes,
             sender_seconds=self._cfg.sender_seconds,
         )
 
--- a/packages/entry/eelgrassdale_entry/tests/harness.py
+++ b/packages/entry/eelgrassdale_entry/tests/harness.py
@@ -45,11 +45,18 @@
 MODEL_VERSION = "lid-1"
 
 
+# Bound without listening, which keeps other processes off the ports until a
+# server that sets SO_REUSEADDR binds them.
+_reserved: list[socket.socket] = []
+
+
 def free_address() -> str:
-    """Return a loopback address that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address that is reserved for this process."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    _reserved.append(sock)
+    return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
 def wait_until(condition: Callable[[], bool], seconds: float = 10.0) -> None:
@@ -334,6 +341,33 @@
         )
         return sock
 
+    def agent(self, name: str) -> FakeAgent:
+        """Return an agent by name."""
+        return next(agent for agent in self.agents if agent.name == name)
+
+    def keys(self, service: str, count: int = 1) -> list[str]:
+        """Return issued keys, once the node knows which agents accept work."""
+        found = []
+
+        def issued() -> bool:
+            path = f"/v1/entries?service={service}&keys={count}"
+            status, _, body = self.request("GET", path)
+            found[:] = json.loads(body).get("keys", [])
+            return status == 200
+
+        wait_until(issued)
+        return found
+
+    def wait_for_headroom(self, *names: str) -> None:
+        """Wait until the dispatcher has a report of each agent."""
+        table = self.node.dispatcher._agents
+
+        def known() -> bool:
+            states = [table.get(name) for name in names]
+            return all(state is not None and state.headroom for state in states)
+
+        wait_until(known)
+
     def counters(self) -> dict[str, int]:
         """Return the counters of `status`."""
         return self.context.metrics.totals()
@@ -362,14 +396,15 @@
     context = new_context(cfg=cfg, role=Role.ENTRY)
     node = EntryNode(cfg=cfg, context=context)
     harness = Harness(node=node, context=context, cfg=cfg, agents=agents)
+    for agent in agents:
+        agent.start()
+    node.start()
     try:
-        for agent in agents:
-            agent.start()
-        node.start()
         context.replica.offer(delta_of(configuration(agents)))
         context.members.offer_vm_list(vm_list(agents, cfg))
         wait_until(node.runtime.may_serve)
         wait_until(lambda: harness.request("GET", "/v1/health")[0] == 200)
+        harness.wait_for_headroom(*(agent.name for agent in agents))
         yield harness
     finally:
         node.stop()
--- a/packages/entry/eelgrassdale_entry/writer.py
+++ b/packages/entry/eelgrassdale_entry/writer.py
@@ -203,7 +203,10 @@
     def _cut_slow_readers(self) -> None:
         limit = self._clock.monotonic() - self._slow_reader_seconds
         for caller in list(self._callers.values()):
-            if caller.pending and caller.progress_at < limit:
+            # A full socket may have taken the last piece whole, so it counts
+            # that the socket is awaited, not that bytes are pending.
+            is_blocked = caller.events & selectors.EVENT_WRITE
+            if is_blocked and caller.progress_at < limit:
                 self._metrics.count("slow_readers_cut")
                 self._reset_on_close(caller.sock)
                 self._leave(caller, ResultCode.CALLER_TOO_SLOW)
