--- a/packages/agent/eelgrassdale_agent/answers.py
+++ b/packages/agent/eelgrassdale_agent/answers.py
@@ -91,7 +91,11 @@
     budget : BufferBudget
         Bound of all answers.
     monitor : InvariantMonitor
-        Checks that the bytes are contiguous.
+        Checks that the bytes are contiguous and of one model version.
+    model_version : str
+        Model version that the request was admitted for, empty for none.
+    is_text : bool
+        Whether the bytes are UTF-8 text.
     """
 
     def __init__(
@@ -105,7 +109,9 @@
         budget: BufferBudget,
         monitor: InvariantMonitor,
         model_version: str = "",
+        is_text: bool = False,
     ) -> None:
+        self.is_text = is_text
         self.kept = kept
         self.max_bytes = max_bytes
         self.model_version = model_version
@@ -148,7 +154,9 @@
             listeners.remove(listener)
             self._listeners = listeners
 
-    def append(self, data: bytes, *, epoch: int, offset: int) -> bool:
+    def append(
+        self, data: bytes, *, epoch: int, offset: int, model_version: str = ""
+    ) -> bool:
         """Add bytes at `offset`; return false for a producer that is over."""
         with self._changed:
             if epoch != self.epoch or self.finished is not None:
@@ -156,6 +164,12 @@
             holds = self._monitor.check(
                 offset == self.end, "frames_contiguous", offset=offset, end=self.end
             )
+            holds &= self._monitor.check(
+                model_version == self.model_version,
+                "one_model_version",
+                admitted=self.model_version,
+                received=model_version,
+            )
             if not holds:
                 return False
             self._data += data
--- a/packages/agent/eelgrassdale_agent/intake.py
+++ b/packages/agent/eelgrassdale_agent/intake.py
@@ -169,6 +169,7 @@
             budget=self._kept_budget if kept else self._budget,
             monitor=self._monitor,
             model_version=outcome.model_version,
+            is_text=self._gate.is_model(),
         )
 
     def _new_job(
--- a/packages/agent/eelgrassdale_agent/program.py
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -17,7 +17,7 @@
 from eelgrassdale.results import ResultCode
 from eelgrassdale.telemetry import configure_logs
 from eelgrassdale.wire import AgentService, NodeServer
-from eelgrassdale_agent import pauses, watch
+from eelgrassdale_agent import metrics, pauses, watch
 from eelgrassdale_agent.answers import BufferBudget
 from eelgrassdale_agent.engine import EngineClient
 from eelgrassdale_agent.gate import AdmissionGate
@@ -50,6 +50,8 @@
     def __init__(self, *, cfg: AgentSettings) -> None:
         self._cfg = cfg
         self.context = new_context(cfg=cfg, role=Role.BACKEND)
+        for name in metrics.UNITS:
+            self.context.metrics.count(name, 0)
         self.runtime = NodeRuntime(cfg=cfg, context=self.context)
         self.gate = self._new_gate()
         self.engine = EngineClient(url=cfg.backend_url)
--- a/packages/agent/eelgrassdale_agent/streams.py
+++ b/packages/agent/eelgrassdale_agent/streams.py
@@ -21,11 +21,18 @@
 # While a stream of the entry node has had no cursor yet, its polls return this
 # soon, so that the first token does not wait for the end of a long poll.
 NEW_STREAM_POLL_SECONDS = 0.01
+# Afterwards the stream no longer shortens the polls; its reader may be full.
+NEW_STREAM_SECONDS = 1.0
 # A stream whose entry node does not poll for this time is abandoned.
 ABANDON_SECONDS = 10.0
 # A finished stream is kept this long after its last frame was sent, since the
 # answer of the poll can be lost.
 FINISHED_KEEP_SECONDS = 5.0
+# A finished answer that is not asked for is kept this long. An entry node does
+# not ask while its caller reads slowly, and cancels when it gives the caller up.
+UNREAD_KEEP_SECONDS = 60.0
+UTF8_CONTINUATION_MASK = 0xC0
+UTF8_CONTINUATION = 0x80
 
 StreamName = tuple[str, int]
 
@@ -53,7 +60,7 @@
     incarnation: int = 0
     last_poll: float = 0.0
     last_sent: float = 0.0
-    unpolled: set[StreamName] = field(factory=set)
+    unpolled: dict[StreamName, float] = field(factory=dict)
 
     def touch(self) -> None:
         """Wake the polls of this entry node."""
@@ -126,7 +133,7 @@
                 on_read=on_read,
                 last_cursor=now,
             )
-            owner.unpolled.add(name)
+            owner.unpolled[name] = now
         answer.listen(owner.touch)
         owner.touch()
 
@@ -155,7 +162,7 @@
                 owner.last_sent = owner.last_poll = now
                 return frames
             seconds = deadline - now
-            if owner.unpolled:
+            if _has_new_stream(owner, now):
                 seconds = min(seconds, NEW_STREAM_POLL_SECONDS)
                 deadline = now + seconds
             with owner.changed:
@@ -211,7 +218,7 @@
             if stream is None or stream.sender != sender:
                 continue
             stream.last_cursor = now
-            owner.unpolled.discard(stream.name)
+            owner.unpolled.pop(stream.name, None)
             stream.answer.acknowledge(cursor.offset)
             stream.on_read()
 
@@ -238,6 +245,8 @@
         finished = answer.finished
         wanted = min(cursor.window_bytes, MAX_FRAME_BYTES, left)
         data = answer.read(cursor.offset, max(0, wanted))
+        if answer.is_text and cursor.offset + len(data) < answer.end:
+            data = whole_characters(data)
         end = cursor.offset + len(data)
         is_last = finished is not None and end == answer.end
         if not data and not is_last:
@@ -296,7 +305,7 @@
         if sender.incarnation > stream.sender_incarnation:
             return True
         if stream.answer.finished is not None:
-            return now - stream.last_cursor > ABANDON_SECONDS
+            return now - stream.last_cursor > UNREAD_KEEP_SECONDS
         return now - max(sender.last_poll, stream.last_cursor) > ABANDON_SECONDS
 
     def _drop(self, names: list[StreamName], code: ResultCode) -> None:
@@ -306,11 +315,44 @@
             if stream is None:
                 continue
             owner = self._senders[stream.sender]
-            owner.unpolled.discard(name)
+            owner.unpolled.pop(name, None)
             stream.answer.unlisten(owner.touch)
             stream.on_abandoned(code)
 
 
+def whole_characters(data: bytes) -> bytes:
+    """Return `data` without a UTF-8 character that its end cuts.
+
+    An entry node resumes an answer elsewhere with the text it has, which must
+    have the length of the bytes it has.
+
+    Examples
+    --------
+    >>> whole_characters("aé".encode()[:2])
+    b'a'
+
+    """
+    end = len(data)
+    while end and data[end - 1] & UTF8_CONTINUATION_MASK == UTF8_CONTINUATION:
+        end -= 1
+    if not end:
+        return data
+    tail = data[end - 1 :]
+    try:
+        tail.decode()
+    except UnicodeDecodeError:
+        return data[: end - 1] or data
+    return data
+
+
+def _has_new_stream(owner: Sender, now: float) -> bool:
+    if not owner.unpolled:
+        return False
+    return any(
+        now - opened < NEW_STREAM_SECONDS for opened in list(owner.unpolled.values())
+    )
+
+
 def _has_moved(owner: Sender, version: int) -> bool:
     return owner.version != version
 
--- a/packages/agent/eelgrassdale_agent/work.py
+++ b/packages/agent/eelgrassdale_agent/work.py
@@ -12,8 +12,8 @@
 from eelgrassdale.telemetry import Metrics, SpanKind, Tracer
 from eelgrassdale_agent import metrics as names
 from eelgrassdale_agent.answers import Answer, Finish, Space
-from eelgrassdale_agent.backend import BackendError, Exchange
-from eelgrassdale_agent.engine import EngineClient, GenerateRequest, Token
+from eelgrassdale_agent.backend import MAX_DETAIL_CHARACTERS, BackendError, Exchange
+from eelgrassdale_agent.engine import EngineClient, EngineStream, GenerateRequest, Token
 from eelgrassdale_agent.gate import AdmissionGate
 from eelgrassdale_agent.plain import PlainClient, PlainRequest
 
@@ -21,6 +21,8 @@
 SLOW_READER_SECONDS = 5.0
 # Longest wait for one read from the backend server.
 READ_SECONDS = 30.0
+# Header of a failed last frame that tells the cause.
+DETAIL = "detail"
 
 log = structlog.get_logger(__name__)
 
@@ -53,7 +55,8 @@
     """One request between its admission and the end of its answer.
 
     `tokens` counts the tokens received, `skipped` the bytes of them that the
-    caller had before. `stop_code` is set when the job has to end early.
+    caller had before. `stop_code` is set when the job has to end early;
+    `model_version` is the one that the engine states in its answer.
     """
 
     task: Task
@@ -67,6 +70,7 @@
     parked: bool = False
     resuming: bool = False
     stop_code: ResultCode | None = None
+    model_version: str = ""
 
 
 class Worker:
@@ -224,13 +228,8 @@
             exchange=exchange,
             traceparent=traceparent,
         )
-        if stream.incarnation != self._gate.engine_incarnation():
-            self._gate.apply(ev.EngineLost)
-        if stream.model_version != task.model_version:
-            self._gate.apply(ev.VersionMismatch)
-            raise BackendError(
-                ResultCode.BACKEND_FAILED, f"model version {stream.model_version}"
-            )
+        self._check_engine(stream, task)
+        job.model_version = stream.model_version
         for tokens in stream.batches():
             finish = self._take_tokens(job, tokens)
             if finish is not None:
@@ -242,6 +241,16 @@
                 return None
         raise BackendError(ResultCode.BACKEND_FAILED, "the stream has no end line")
 
+    def _check_engine(self, stream: EngineStream, task: Task) -> None:
+        known = self._gate.engine_incarnation()
+        if known and stream.incarnation != known:
+            self._gate.apply(ev.EngineLost)
+        if stream.model_version != task.model_version:
+            self._gate.apply(ev.VersionMismatch)
+            raise BackendError(
+                ResultCode.BACKEND_FAILED, f"model version {stream.model_version}"
+            )
+
     def _take_tokens(self, job: Job, tokens: list[Token]) -> Finish | None:
         text = b""
         for token in tokens:
@@ -298,7 +307,12 @@
                 ResultCode.ANSWER_TOO_LARGE, f"more than {answer.max_bytes} bytes"
             )
         if piece:
-            answer.append(piece, epoch=job.epoch, offset=offset)
+            answer.append(
+                piece,
+                epoch=job.epoch,
+                offset=offset,
+                model_version=job.model_version,
+            )
 
     def _space(self, job: Job) -> Space:
         if job.stop_code is not None:
@@ -311,11 +325,10 @@
             return Finish(code=exc.code if never_sent else job.stop_code)
         if exc.is_lost:
             self._gate.apply(ev.EngineLost)
-        started = job.tokens or job.answer.end
         code = exc.code
-        if started and verdict_of(code).ran is Ran.NOT_RUN:
+        if job.tokens and verdict_of(code).ran is Ran.NOT_RUN:
             code = ResultCode.ANSWER_TRUNCATED
-        return Finish(code=code)
+        return Finish(code=code, headers={DETAIL: exc.detail[:MAX_DETAIL_CHARACTERS]})
 
     def _complete(self, job: Job, finish: Finish | None) -> None:
         whole = finish is not None and finish.code is ResultCode.OK
--- a/packages/core/eelgrassdale/admission/__init__.py
+++ b/packages/core/eelgrassdale/admission/__init__.py
@@ -1,1 +1,16 @@
-"""Decisions of the agent about requests."""
+"""Admission and at-most-once decisions of the agent."""
+
+from eelgrassdale.admission.keys import check_key
+from eelgrassdale.admission.ledger import KeyState, Ledger
+from eelgrassdale.admission.machine import Admission
+from eelgrassdale.admission.replay import Difference, ReplayReport, replay
+
+__all__ = [
+    "Admission",
+    "Difference",
+    "KeyState",
+    "Ledger",
+    "ReplayReport",
+    "check_key",
+    "replay",
+]
--- a/packages/core/eelgrassdale/admission/load.py
+++ b/packages/core/eelgrassdale/admission/load.py
@@ -16,8 +16,38 @@
     memory_bytes: int = 0
 
 
+class SlidingMaximum:
+    """Highest of the values that were current within the last seconds.
+
+    Examples
+    --------
+    >>> highest = SlidingMaximum(seconds=2.0)
+    >>> highest.replaced(5, now=1.0)
+    >>> highest.replaced(3, now=2.0)
+    >>> highest.within(1, now=2.5), highest.within(1, now=3.5)
+    (5, 3)
+
+    """
+
+    def __init__(self, *, seconds: float) -> None:
+        self._seconds = seconds
+        self._ended: deque[tuple[float, int]] = deque()
+
+    def replaced(self, value: int, *, now: float) -> None:
+        """Note that `value` was current until now."""
+        while self._ended and self._ended[-1][1] <= value:
+            self._ended.pop()
+        self._ended.append((now, value))
+
+    def within(self, current: int, *, now: float) -> int:
+        """Return the highest value, `current` included."""
+        while self._ended and now - self._ended[0][0] > self._seconds:
+            self._ended.popleft()
+        return max(current, self._ended[0][1]) if self._ended else current
+
+
 class OwnLoad:
-    """The requests that this agent runs, with a short history.
+    """The requests that this agent runs, with the peak of the last seconds.
 
     A report describes some moment within the lag, so work that the agent did
     not send is what exceeds the highest own load of that time. Everything sent
@@ -25,38 +55,33 @@
     """
 
     def __init__(self) -> None:
-        self._history: deque[tuple[float, Use]] = deque()
+        self._running = SlidingMaximum(seconds=REPORT_LAG_SECONDS)
+        self._memory = SlidingMaximum(seconds=REPORT_LAG_SECONDS)
         self.use = Use()
 
     def add(self, *, memory_bytes: int, now: float) -> None:
         """Count one more running request."""
-        self._set(+1, memory_bytes, now)
+        self._change(+1, memory_bytes, now)
 
     def remove(self, *, memory_bytes: int, now: float) -> None:
         """Count one running request less."""
-        self._set(-1, -memory_bytes, now)
+        self._change(-1, -memory_bytes, now)
 
     def peak(self, *, now: float) -> Use:
         """Return the highest load within the lag of a report."""
-        self._forget(now)
-        uses = [use for _, use in self._history] + [self.use]
         return Use(
-            running=max(use.running for use in uses),
-            memory_bytes=max(use.memory_bytes for use in uses),
+            running=self._running.within(self.use.running, now=now),
+            memory_bytes=self._memory.within(self.use.memory_bytes, now=now),
         )
 
-    def _set(self, running: int, memory_bytes: int, now: float) -> None:
-        self._history.append((now, self.use))
-        self._forget(now)
+    def _change(self, running: int, memory_bytes: int, now: float) -> None:
+        self._running.replaced(self.use.running, now=now)
+        self._memory.replaced(self.use.memory_bytes, now=now)
         self.use = Use(
             running=self.use.running + running,
             memory_bytes=self.use.memory_bytes + memory_bytes,
         )
 
-    def _forget(self, now: float) -> None:
-        while self._history and now - self._history[0][0] > REPORT_LAG_SECONDS:
-            self._history.popleft()
-
 
 def foreign_use(report: EngineReported | None, *, peak: Use) -> Use:
     """Return the reported load that the agent's own requests do not explain.
--- /dev/null
+++ b/packages/core/eelgrassdale/admission/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `eelgrassdale.admission`."""
