--- /dev/null
+++ b/packages/entry/eelgrassdale_entry/links.py
@@ -0,0 +1,213 @@
+"""The link to one agent: a submitting and a polling connection."""
+
+import queue
+import threading
+
+import structlog
+from attrs import frozen
+
+from eelgrassdale.results import ResultCode
+from eelgrassdale.wire import (
+    CallRequest,
+    NodeConnection,
+    NotDeliveredError,
+    SubmitAnswer,
+    UnknownDeliveryError,
+)
+from eelgrassdale_entry.linkcontext import SILENCE_SECONDS, LinkContext
+from eelgrassdale_entry.messages import Attempt, AttemptAccepted, AttemptEnded
+from eelgrassdale_entry.polling import PollTask
+from eelgrassdale_entry.streams import StreamTable, stream_key
+
+WINDOW_BYTES = 64 * 1024
+MAX_WAITING_CALLS = 1024
+
+log = structlog.get_logger(__name__)
+
+
+@frozen(kw_only=True)
+class _Cancel:
+    attempt: Attempt
+
+
+class AgentLink:
+    """Submits attempts to one agent and reads all their answers.
+
+    Parameters
+    ----------
+    agent : str
+        Name of the agent.
+    address : str
+        Its node address.
+    context : LinkContext
+        Shared services.
+    """
+
+    def __init__(self, *, agent: str, address: str, context: LinkContext) -> None:
+        self.agent = agent
+        self.address = address
+        self._context = context
+        self._conn = NodeConnection(address=address, connect_seconds=SILENCE_SECONDS)
+        self._calls: queue.Queue = queue.Queue(MAX_WAITING_CALLS)
+        self._cancelled: set[tuple[str, int]] = set()
+        self._streams = StreamTable()
+        self._polls = PollTask(
+            agent=agent, address=address, context=context, streams=self._streams
+        )
+        self._closed = False
+        self._thread = threading.Thread(
+            target=self._run, name=f"submit-{agent}", daemon=True
+        )
+
+    def start(self) -> None:
+        """Start both tasks."""
+        self._thread.start()
+        self._polls.start()
+
+    def close(self) -> None:
+        """End both tasks after the calls under way."""
+        self._closed = True
+        self._polls.close()
+        self._put(None)
+
+    def submit(self, attempt: Attempt) -> bool:
+        """Queue an attempt; false when too many calls wait."""
+        self._polls.used()
+        return self._put(attempt)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Stop reading an attempt and free its slot at the agent."""
+        self._streams.remove(attempt)
+        self._cancelled.add(stream_key(attempt))
+        if not self._put(_Cancel(attempt=attempt)):
+            self._cancelled.discard(stream_key(attempt))
+            log.warning("cancel dropped", agent=self.agent)
+
+    def nudge(self) -> None:
+        """Ask for the headroom soon."""
+        self._polls.nudge()
+
+    def _put(self, call: object) -> bool:
+        try:
+            self._calls.put_nowait(call)
+        except queue.Full:
+            return False
+        return True
+
+    def _run(self) -> None:
+        while not self._closed:
+            self._make(self._calls.get())
+        while not self._calls.empty():
+            self._refuse(self._calls.get_nowait())
+        self._conn.close()
+
+    def _make(self, call: object) -> None:
+        if isinstance(call, Attempt):
+            if stream_key(call) not in self._cancelled:
+                self._submit(call)
+        elif isinstance(call, _Cancel):
+            # The submission may have been answered after `cancel` was called.
+            self._streams.remove(call.attempt)
+            self._cancelled.discard(stream_key(call.attempt))
+            self._cancel_at_agent(call.attempt)
+
+    def _refuse(self, call: object) -> None:
+        if isinstance(call, Attempt):
+            self._context.ended(
+                call,
+                ResultCode.NO_BACKEND_SERVER,
+                "the link to the agent closed",
+                by_agent=False,
+            )
+
+    def _submit(self, attempt: Attempt) -> None:
+        req = attempt.request
+        remaining = req.deadline - self._context.clock.monotonic()
+        if remaining <= 0:
+            self._context.ended(attempt, ResultCode.DEADLINE_PASSED, by_agent=False)
+            return
+        envelope = self._context.envelope(
+            remaining_ms=int(remaining * 1000), traceparent=req.traceparent
+        )
+        try:
+            answer = self._conn.call(
+                "submit",
+                envelope,
+                call_request(attempt),
+                timeout_seconds=SILENCE_SECONDS,
+            )
+        except NotDeliveredError as exc:
+            self._context.silent(self.agent, refused=True)
+            self._context.ended(
+                attempt, ResultCode.NO_BACKEND_SERVER, str(exc), by_agent=False
+            )
+        except UnknownDeliveryError as exc:
+            self._context.silent(self.agent, refused=False)
+            self._context.ended(
+                attempt, ResultCode.OUTCOME_UNKNOWN, str(exc), by_agent=False
+            )
+            self._cancel_at_agent(attempt)
+        else:
+            self._submitted(attempt, answer)
+
+    def _submitted(self, attempt: Attempt, answer: SubmitAnswer) -> None:
+        if answer.code != ResultCode.OK:
+            self._context.post(
+                AttemptEnded(
+                    request_id=attempt.request.request_id,
+                    attempt=attempt.number,
+                    agent=self.agent,
+                    code=answer.code,
+                    message=answer.detail or "",
+                    headroom=answer.headroom,
+                )
+            )
+            return
+        attempt.reader.incarnation = answer.incarnation
+        self._context.post(
+            AttemptAccepted(
+                request_id=attempt.request.request_id,
+                attempt=attempt.number,
+                agent=self.agent,
+                headroom=answer.headroom,
+                model_version=answer.model_version or "",
+            )
+        )
+        self._streams.add(attempt)
+        self._polls.nudge()
+
+    def _cancel_at_agent(self, attempt: Attempt) -> None:
+        try:
+            self._conn.call(
+                "cancel",
+                self._context.envelope(remaining_ms=0, traceparent=""),
+                attempt.request.request_id,
+                attempt.number,
+                timeout_seconds=SILENCE_SECONDS,
+            )
+        except (NotDeliveredError, UnknownDeliveryError) as exc:
+            log.info("cancel failed", agent=self.agent, error=str(exc))
+
+
+def call_request(attempt: Attempt) -> CallRequest:
+    """Return the message that submits an attempt."""
+    req = attempt.request
+    return CallRequest(
+        request_id=req.request_id,
+        attempt=attempt.number,
+        service_name=req.service,
+        account=req.account,
+        priority=req.priority,
+        method=req.method,
+        path=req.path,
+        headers=dict(req.headers),
+        body=req.body,
+        prompt_tokens=req.prompt_tokens,
+        max_tokens=req.max_tokens,
+        idempotent=req.idempotent,
+        key=req.key_text,
+        model_version=attempt.model_version,
+        resume_offset=attempt.reader.offset,
+        window_bytes=WINDOW_BYTES,
+        resume_text=attempt.resume_text,
+    )
