--- a/packages/standins/eelgrassdale_standins/topology.py
+++ b/packages/standins/eelgrassdale_standins/topology.py
@@ -87,6 +87,8 @@
     keep_seconds : int
         How long callers keep a list of entry nodes, which a graceful stop of an
         entry node waits for.
+    agent_options : tuple
+        Further options of every agent.
     """
 
     data_centres: tuple[DataCentre, ...]
@@ -101,6 +103,7 @@
     backend_options: Mapping[str, tuple[object, ...]] = attrs.Factory(dict)
     is_model_loaded: bool = True
     keep_seconds: int = 2
+    agent_options: tuple[object, ...] = ()
 
     def service(self, name: str) -> Service:
         """Return a service by name."""
