Keep a leaving node serving while its listing spreads

Other entry nodes list a leaving node until they hear of it, so it now serves five seconds longer than callers may keep a list.

--- a/packages/entry/eelgrassdale_entry/program.py
+++ b/packages/entry/eelgrassdale_entry/program.py
@@ -37,6 +37,9 @@
 from eelgrassdale_entry.writer import Writer
 
 POLL_SECONDS = 0.05
+# Other entry nodes may issue lists with this node until they hear that it is
+# leaving, which takes a probe or a comparison of generations.
+LEAVE_SPREAD_SECONDS = 5.0
 # Counters that `status` reports from the start, also while they are 0.
 COUNTERS = (
     "requests",
@@ -127,7 +130,8 @@
         clock = self._context.clock
         self.runtime.leave()
         log.info("leaving", keep_seconds=self._cfg.keep_seconds)
-        clock.sleep(min(self._cfg.keep_seconds, self._cfg.drain_seconds))
+        listed_seconds = self._cfg.keep_seconds + LEAVE_SPREAD_SECONDS
+        clock.sleep(min(listed_seconds, self._cfg.drain_seconds))
         self.intake.refuse_new()
         deadline = clock.monotonic() + self._cfg.finish_seconds
         while self._is_busy() and clock.monotonic() < deadline:
