Measure stopped readers and check callers' sockets without waiting

A plain call that took more than a quarter of a second was cancelled: the check whether its caller had left used recv with MSG_DONTWAIT on a socket with a timeout, for which Python waits first. The measurement found it, since 16 of 200 stopped readers ended as cancelled after 10 s. The check now polls the socket without waiting; a test guards it.

The stand-in of a plain service answers `/bytes/{count}` with that many bytes, which the measurement needs to fill callers' buffers.

--- a/packages/entry/eelgrassdale_entry/callers.py
+++ b/packages/entry/eelgrassdale_entry/callers.py
@@ -2,6 +2,7 @@
 
 import json
 import secrets
+import select
 import socket
 from collections.abc import Callable
 from http import HTTPStatus
@@ -277,9 +278,12 @@
 
 
 def _has_left(sock: socket.socket) -> bool:
-    try:
-        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except BlockingIOError:
+    # The socket has a timeout, with which `recv` waits even for MSG_DONTWAIT.
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    if not poll.poll(0):
         return False
+    try:
+        return sock.recv(1, socket.MSG_PEEK) == b""
     except OSError:
         return True
--- a/packages/entry/eelgrassdale_entry/tests/test_slow_callers.py
+++ b/packages/entry/eelgrassdale_entry/tests/test_slow_callers.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import threading
 import time
 
 from eelgrassdale.wire.client import parse_address
@@ -64,6 +65,19 @@
     wait_until(lambda: agent.cancelled)
 
 
+def test_slow_service_is_not_taken_for_a_caller_that_left():
+    """The check of the caller's socket once waited for the socket's timeout."""
+    agent = FakeAgent(name="d", data_centre="n1", service="desk")
+    script = Script(stop_at=0)
+    agent.script = lambda request: script
+    release = threading.Timer(1.0, setattr, (script, "stop_at", None))
+    with entry_node([agent], sender_seconds=0.4) as harness:
+        release.start()
+        status, _, body = harness.call()
+    assert (status, body) == (200, script.text)
+    assert not agent.cancelled
+
+
 def test_silent_connections_take_no_server_threads(node):
     """Each connection once took a thread until its timeout."""
     silent = [connect(node) for _ in range(40)]
--- a/packages/standins/eelgrassdale_standins/plainservice.py
+++ b/packages/standins/eelgrassdale_standins/plainservice.py
@@ -17,6 +17,9 @@
     run,
 )
 
+# Largest body of `/bytes/{count}`, which answers that many bytes.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
 
 @attrs.frozen(kw_only=True)
 class Faults:
@@ -69,6 +72,8 @@
                 self._running -= 1
         if self.use_up("lose_answers"):
             return drop_connection()
+        if len(path) == 2 and path[0] == "bytes" and path[1].isdigit():
+            return bytes(min(int(path[1]), MAX_ANSWER_BYTES))
         return json_answer(
             {
                 "path": "/".join(path),
