--- a/packages/core/eelgrassdale/spread/head.py
+++ b/packages/core/eelgrassdale/spread/head.py
@@ -136,6 +136,22 @@
     )
 
 
+def full_delta(head: Head, bodies: Mapping[str, bytes]) -> ConfigDelta:
+    """Return the delta that carries all objects of a head."""
+    return ConfigDelta(
+        base=0,
+        generation=head.generation,
+        head_digest=head_digest_of(head.objects),
+        changed=[
+            ConfigObject(name=name, digest=head.objects[name], body=body)
+            for name, body in sorted(bodies.items())
+        ],
+        removed=[],
+        members_version=0,
+        members=b"",
+    )
+
+
 def commit_change(
     store: Store, *, base: HeadRead, bodies: Mapping[str, bytes], operation: str
 ) -> Result[Head, ResultError]:
--- a/packages/entry/eelgrassdale_entry/admin.py
+++ b/packages/entry/eelgrassdale_entry/admin.py
@@ -188,8 +188,11 @@
             edit,
             expected_generation=expected.ok,
         )
-        if changed.is_ok():
+        if changed.is_ok() and changed.ok.delta is not None:
             log.info("configuration accepted", generation=changed.ok.generation)
+            # Taken from here at once, an accepted change spreads even if the
+            # store goes down before a watcher has read it.
+            self._context.node.replica.offer(changed.ok.delta)
         return changed.map(_accepted)
 
     def _current(self) -> Configuration:
@@ -325,7 +328,7 @@
 def _accepted(accepted: Accepted) -> Mapping[str, object]:
     return {
         "generation": accepted.generation,
-        "changed": accepted.changed,
+        "changed": accepted.delta is not None,
         "diff": accepted.diff,
     }
 
--- a/packages/entry/eelgrassdale_entry/changes.py
+++ b/packages/entry/eelgrassdale_entry/changes.py
@@ -21,8 +21,9 @@
 )
 from eelgrassdale.results import Problem, ResultCode, ResultError
 from eelgrassdale.spread import HeadRead, ReplicaState, commit_change
-from eelgrassdale.spread.head import Store, fetch_delta, read_head
+from eelgrassdale.spread.head import Store, fetch_delta, full_delta, read_head
 from eelgrassdale.spread.replica import apply_delta
+from eelgrassdale.wire import ConfigDelta
 
 # Names of objects (`kind/name`) and their new values, None to remove one.
 Edits = Mapping[str, CatalogObject | None]
@@ -30,11 +31,11 @@
 
 @frozen(kw_only=True)
 class Accepted:
-    """An accepted change; `changed` is false when nothing differed."""
+    """An accepted change; `delta` carries it, None when nothing differed."""
 
     generation: int
     diff: str
-    changed: bool
+    delta: ConfigDelta | None
 
 
 @frozen(kw_only=True)
@@ -129,17 +130,15 @@
     current = base.configuration
     diff = diff_configurations(current, proposed)
     if not diff and base.head.version is not None:
-        return Ok(Accepted(generation=current.generation, diff="", changed=False))
+        return Ok(Accepted(generation=current.generation, diff="", delta=None))
     encoded = [encode_object(obj) for obj in objects_of(proposed)]
+    bodies = {obj.name: obj.body for obj in encoded}
     committed = commit_change(
-        store,
-        base=base.head,
-        bodies={obj.name: obj.body for obj in encoded},
-        operation=secrets.token_hex(16),
+        store, base=base.head, bodies=bodies, operation=secrets.token_hex(16)
     )
     if committed.is_ok():
-        generation = committed.ok.generation
-        return Ok(Accepted(generation=generation, diff=diff, changed=True))
+        delta = full_delta(committed.ok, bodies)
+        return Ok(Accepted(generation=delta.generation, diff=diff, delta=delta))
     if committed.error.code is not ResultCode.CONFIGURATION_CONFLICT:
         return Error(committed.error)
     return _read_stored(store, state).bind(
