--- a/packages/agent/eelgrassdale_agent/loading.py
+++ b/packages/agent/eelgrassdale_agent/loading.py
@@ -26,7 +26,6 @@
 LOADS = "loads"
 POLL_SECONDS = 0.1
 DRAIN_POLL_SECONDS = 0.02
-RETRY_SECONDS = 0.5
 # Added to the deadline of the service; a request that holds its slot longer
 # is cut off by its own deadline.
 DRAIN_EXTRA_SECONDS = 5.0
@@ -99,9 +98,13 @@
         -------
         ResultCode
             `OK`; `VERSION_CHANGED` when the target is no longer configured;
-            `CHUNK_NOT_HELD` when chunks have to be staged again.
+            `CHUNK_NOT_HELD` when chunks have to be staged again; `FENCED`
+            until a higher generation is in force; `LOAD_FAILED` or
+            `BACKEND_FAILED` when the load may be tried again.
 
         """
+        if self._is_fenced():
+            return ResultCode.FENCED
         if not self._await_turn(target, own_version):
             return ResultCode.VERSION_CHANGED
         self._hooks.set_state(LoadState.LOADING, "")
@@ -119,6 +122,10 @@
         """Take an engine that already has the target loaded."""
         self._gate.resume_cold(target.model.name)
 
+    def _is_fenced(self) -> bool:
+        """Return whether an engine refused the token of this generation."""
+        return self._context.replica.current().generation < self._highest_fencing
+
     def _resume_as_it_is(self) -> None:
         """Admit requests again for the version that the engine still has."""
         state = self._orders.state()
@@ -188,30 +195,22 @@
         return True
 
     def _order(self, target: Target, store: ChunkStore) -> ResultCode:
+        """Read the engine's state and order the load that it calls for."""
         while self._hooks.is_current():
             state, read_at = self._orders.state(), self._context.clock.monotonic()
             if state.is_error():
-                self._hooks.set_state(LoadState.LOADING, "engine")
-                if not self._hooks.wait(RETRY_SECONDS):
-                    break
-                continue
-            missing = self._missing(store)
-            if missing:
+                return ResultCode.BACKEND_FAILED
+            if self._missing(store):
                 return ResultCode.CHUNK_NOT_HELD
             step = self._step(target, state.ok, read_at)
-            if step is Step.ADOPT:
-                self.adopt(target)
-                return ResultCode.OK
-            if step is Step.ORDER:
-                code = self._send(target, store)
-                if code is ResultCode.OK:
-                    self.adopt(target)
-                    return code
-                self._hooks.set_state(LoadState.LOADING, code.name)
+            if step is Step.READ_STATE:
+                continue
             if step is Step.AWAIT_GENERATION:
-                self._hooks.set_state(LoadState.LOADING, ResultCode.FENCED.name)
-            if step is not Step.READ_STATE and not self._hooks.wait(RETRY_SECONDS):
-                break
+                return ResultCode.FENCED
+            code = self._send(target, store) if step is Step.ORDER else ResultCode.OK
+            if code is ResultCode.OK:
+                self.adopt(target)
+            return code
         return ResultCode.VERSION_CHANGED
 
     def _step(self, target: Target, state: EngineState, read_at: float) -> Step:
--- a/packages/agent/eelgrassdale_agent/transfer.py
+++ b/packages/agent/eelgrassdale_agent/transfer.py
@@ -11,7 +11,7 @@
 from eelgrassdale.platform.weightsource import WeightSourceClient
 from eelgrassdale.results import ResultCode
 from eelgrassdale.weights.loading import LoadState
-from eelgrassdale.weights.pacing import region_rate
+from eelgrassdale.weights.pacing import backoff_seconds, region_rate
 from eelgrassdale.weights.selection import FEED_LANES, PEER_LANES
 from eelgrassdale.wire import ChunkAnswer, ChunkRequest, ManifestAnswer
 from eelgrassdale_agent.loading import LOADS, Gate, Loader, LoadHooks
@@ -27,6 +27,7 @@
     LanePool,
     LaneResult,
 )
+from eelgrassdale_agent.transfer_live import LiveWatch
 from eelgrassdale_agent.transfer_opening import StoreOpener, drop_unstaged
 from eelgrassdale_agent.transfer_pacing import PacedLink
 from eelgrassdale_agent.transfer_probing import Prober, envelope_of
@@ -89,8 +90,11 @@
         self._context = context
         self._gate = gate
         self._cfg = cfg
+        self._live = LiveWatch(context=context, is_active=self._is_active)
         self._link = PacedLink(
-            clock=context.clock, bytes_per_second=cfg.link_bytes_per_second
+            clock=context.clock,
+            bytes_per_second=cfg.link_bytes_per_second,
+            share=self._live.share,
         )
         self._orders = OrderClient(
             backend_url=cfg.backend_url, connections=FEED_LANES + PEER_LANES + 4
@@ -134,7 +138,8 @@
             incarnation="", model_version="", manifest="", cold=True
         )
         self._runs = 0
-        self._loaded_at = 0.0
+        self._loaded_at = -REPORT_LAG_SECONDS
+        self._failures = 0
         self._thread = threading.Thread(target=self._run, name="weights", daemon=True)
         for name in COUNTERS:
             context.metrics.count(name, 0)
@@ -144,12 +149,14 @@
         self._context.replica.subscribe(lambda _: self._wake.set())
         self._context.members.subscribe(lambda _: self._wake.set())
         self._lanes.start()
+        self._live.start()
         self._thread.start()
 
     def stop(self) -> None:
         """Stop fetching, serving and loading."""
         self._stopping.set()
         self._wake.set()
+        self._live.stop()
         self._serving.serve(None)
         self._link.stop()
         for link in self._region_links.values():
@@ -179,6 +186,7 @@
             "load_state": self.load_state(),
             "weights_progress": held_text(store) if store else "0/0",
             "weights_blocked_by": self._blocked_by,
+            "weights_link_share": f"{self._live.share():.2f}",
             "weights_target": target.model.name if target else "",
             "weights_manifest": target.model.manifest if target else "",
         }
@@ -237,7 +245,7 @@
             self._set_state(LoadState.FETCHING, "")
         store = self._store_of(target)
         if store is None:
-            self._wait(RETRY_SECONDS)
+            self._back_off()
             return
         drop_unstaged(self._orders, store)
         log.info("weights wanted", version=target.model.name, chunks=held_text(store))
@@ -249,9 +257,11 @@
         if code is ResultCode.OK:
             self._loaded_at = self._context.clock.monotonic()
             self._set_state(LoadState.COLD, "")
+            self._failures = 0
             log.info("weights loaded", version=target.model.name)
-        elif code is ResultCode.VERSION_CHANGED and self._is_current():
-            self._wait(RETRY_SECONDS)
+        elif self._is_current():
+            self._set_state(LoadState.WAITING, self._blocked_by or code.name)
+            self._back_off()
 
     def _transfer(self, target: Target, store: ChunkStore) -> ResultCode:
         self._runs += 1
@@ -309,9 +319,22 @@
     def _set_state(self, state: LoadState, blocked_by: str) -> None:
         self._state, self._blocked_by = state, blocked_by
 
+    def _is_active(self) -> Target | None:
+        """Return the target while this agent fetches or sends chunks."""
+        if self._state is LoadState.FETCHING or self._serving.is_sending():
+            return self._target
+        return None
+
     def _wait(self, seconds: float) -> bool:
         return not self._stopping.wait(seconds)
 
+    def _back_off(self) -> None:
+        """Wait longer after each failure in a row; a change ends the wait."""
+        self._failures += 1
+        seconds = backoff_seconds(self._failures, self._context.identity.name)
+        self._wake.wait(seconds)
+        self._wake.clear()
+
     def _pause(self) -> None:
         """Wait for a change of configuration or members, or for a while."""
         self._wake.wait(IDLE_SECONDS)
@@ -325,7 +348,7 @@
             total=self._cfg.region_bytes_per_second,
             fetchers=fetchers,
             priority=target.model.priority,
-            others={},
+            others=self._live.other_models(),
         )
         link = self._region_links.get(region)
         if link is None:
--- a/packages/agent/eelgrassdale_agent/transfer_serving.py
+++ b/packages/agent/eelgrassdale_agent/transfer_serving.py
@@ -44,6 +44,10 @@
         """Serve the chunks of `store` from now on, and of no other."""
         self._store, self._priority = store, priority
 
+    def is_sending(self) -> bool:
+        """Return whether a chunk is on its way to a peer."""
+        return self._sending > 0
+
     def read_manifest(self, digest: str) -> ManifestAnswer:
         """Return the manifest with this digest and the chunks held of it."""
         store = self._store
--- a/packages/agent/eelgrassdale_agent/transfer_target.py
+++ b/packages/agent/eelgrassdale_agent/transfer_target.py
@@ -1,7 +1,5 @@
 """What the configuration wants this agent's engine to have loaded."""
 
-from collections.abc import Mapping
-
 from attrs import frozen
 
 from eelgrassdale.catalog import Configuration, ModelVersion, Service, Vm, VmState
@@ -80,24 +78,6 @@
     )
 
 
-def other_priorities(cfg: Configuration, target: Target) -> Mapping[str, int]:
-    """Return the priorities of the other configured models in the same regions.
-
-    Agents of other services may be fetching these; an agent cannot see
-    whether they do.
-    """
-    regions = {place.region for place in target.agents}
-    found = {}
-    for service in cfg.services.values():
-        model = cfg.model_versions.get(service.model_version)
-        if model is None or model.name == target.model.name:
-            continue
-        places = [_place_of(cfg, vm) for vm in cfg.backend_servers_of(service.name)]
-        if any(place.region in regions for place in places):
-            found[model.name] = model.priority
-    return found
-
-
 def _is_in_service(cfg: Configuration, vm: Vm) -> bool:
     return vm.state is VmState.IN_SERVICE and cfg.is_in_service(vm.data_centre)
 
--- a/packages/core/eelgrassdale/weights/pacing.py
+++ b/packages/core/eelgrassdale/weights/pacing.py
@@ -4,6 +4,8 @@
 
 from attrs import evolve, frozen
 
+from eelgrassdale.hashing import rendezvous_weight
+
 # Tokens saved up while a link is idle. Less loses rate to scheduling delays
 # of the threads; more makes bursts that delay live traffic.
 BURST_SECONDS = 0.1
@@ -15,6 +17,9 @@
 MIN_SHARE = 0.1
 # The baseline follows a path that became longer within about this many probes.
 BASELINE_GROWTH = 1.01
+PROBES = 3
+BACKOFF_SECONDS = 0.5
+BACKOFF_MAX_SECONDS = 10.0
 
 
 @frozen(kw_only=True)
@@ -91,11 +96,14 @@
 class LiveDelay:
     """Share of the link that weights use, led by the delay of probes.
 
-    `baseline` is the shortest round trip in seconds, 0 before the first.
+    The median of the last `PROBES` round trips counts, so that one probe that
+    met a busy process changes nothing. `baseline` is the shortest round trip
+    in seconds, 0 before the first.
     """
 
     share: float = 1.0
     baseline: float = 0.0
+    recent: tuple[float, ...] = ()
 
     def observed(self, seconds: float) -> "LiveDelay":
         """Return the state after one probe took `seconds`.
@@ -103,18 +111,21 @@
         Examples
         --------
         >>> calm = LiveDelay().observed(0.002)
-        >>> calm.share, calm.observed(0.2).share
-        (1.0, 0.7)
+        >>> calm.observed(0.2).share
+        1.0
+        >>> calm.observed(0.2).observed(0.2).share
+        0.7
 
         """
-        if self.baseline == 0.0:
-            return evolve(self, baseline=seconds)
-        baseline = min(seconds, self.baseline * BASELINE_GROWTH)
-        if seconds - baseline > YIELD_DELAY_SECONDS:
+        recent = (*self.recent, seconds)[-PROBES:]
+        grown = self.baseline * BASELINE_GROWTH or seconds
+        baseline = min(seconds, grown)
+        delay = sorted(recent)[len(recent) // 2] - baseline
+        if len(recent) == PROBES and delay > YIELD_DELAY_SECONDS:
             share = max(MIN_SHARE, self.share * YIELD_FACTOR)
         else:
             share = min(1.0, self.share + RECOVERY_STEP)
-        return LiveDelay(share=share, baseline=baseline)
+        return LiveDelay(share=share, baseline=baseline, recent=recent)
 
 
 def region_rate(
@@ -143,3 +154,22 @@
         return total * MIN_SHARE / max(1, fetchers)
     equals = 1 + sum(other == priority for other in others.values())
     return total / equals / max(1, fetchers)
+
+
+def backoff_seconds(failures: int, name: str) -> float:
+    """Return the wait after a number of failures in a row, with jitter.
+
+    The jitter is a hash of the name, so that agents that fail together do not
+    try again together.
+
+    Examples
+    --------
+    >>> 0.25 <= backoff_seconds(1, "vm-1") <= 0.5
+    True
+    >>> backoff_seconds(50, "vm-1") <= BACKOFF_MAX_SECONDS
+    True
+
+    """
+    longest = min(BACKOFF_MAX_SECONDS, BACKOFF_SECONDS * 2 ** min(failures - 1, 10))
+    draw = rendezvous_weight(topic=f"backoff/{failures}", member=name) / 2**64
+    return longest * (0.5 + draw / 2)
