Add eelgrassdale model push and status

The manifest comes from the weight source, the change is one conditional update based on the generation that was read. A name that already stands for other weights is refused, because engines and callers tell versions apart by name. Progress is a bar on a terminal and JSON lines otherwise.

--- /dev/null
+++ b/packages/entry/eelgrassdale_entry/commands/model.py
@@ -0,0 +1,274 @@
+"""`eelgrassdale model`: push a model version and follow its distribution."""
+
+import json
+import sys
+from collections.abc import Callable, Mapping
+from typing import NoReturn
+
+import click
+from attrs import evolve
+from expression import Error, Ok, Result
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+
+from eelgrassdale.catalog import Configuration, ModelVersion, ServiceKind, check
+from eelgrassdale.clock import SystemClock
+from eelgrassdale.platform.objects import ObjectStore
+from eelgrassdale.platform.vmlist import VmListClient
+from eelgrassdale.platform.weightsource import WeightSourceClient
+from eelgrassdale.results import Problem, ResultCode, ResultError
+from eelgrassdale.telemetry import Metrics
+from eelgrassdale.weights import Manifest, parse_manifest
+from eelgrassdale_entry.commands.model_progress import PushProgress, progress_of
+from eelgrassdale_operators import apply_configuration, read_statuses, read_stored
+
+EXIT_INVALID = 2
+EXIT_FAILED = 1
+EXIT_INCOMPLETE = 3
+POLL_SECONDS = 1.0
+WAIT_SECONDS = 1800.0
+
+store_option = click.option(
+    "--object-api-url",
+    envvar="EELGRASSDALE_OBJECT_API_URL",
+    required=True,
+    help="Base URL of the object API.",
+)
+vm_list_option = click.option(
+    "--vm-list-url",
+    envvar="EELGRASSDALE_VM_LIST_URL",
+    required=True,
+    help="Base URL of the VM list.",
+)
+
+
+@click.group()
+def model() -> None:
+    """Push a model version and follow its distribution."""
+
+
+@model.command()
+@click.argument("name")
+@click.option("--service", required=True, help="Model service to point at it.")
+@click.option(
+    "--weight-source",
+    "weight_sources",
+    envvar="EELGRASSDALE_WEIGHT_SOURCE",
+    multiple=True,
+    required=True,
+    help="URL of a weight source, the preferred first; may be repeated.",
+)
+@click.option(
+    "--priority",
+    type=click.IntRange(0, 100),
+    default=1,
+    show_default=True,
+    help="Priority on shared links among pushed models.",
+)
+@click.option(
+    "--expect-generation",
+    type=click.IntRange(min=0),
+    help="Refuse the change unless this generation is in force.",
+)
+@click.option("--no-wait", is_flag=True, help="Return once the change is accepted.")
+@click.option(
+    "--timeout-seconds",
+    type=click.FloatRange(min=0),
+    default=WAIT_SECONDS,
+    show_default=True,
+    help="How long to wait until all replicas have the version.",
+)
+@store_option
+@vm_list_option
+def push(
+    name: str,
+    service: str,
+    weight_sources: tuple[str, ...],
+    priority: int,
+    expect_generation: int | None,
+    no_wait: bool,
+    timeout_seconds: float,
+    object_api_url: str,
+    vm_list_url: str,
+) -> None:
+    """Point SERVICE at model version NAME and show how the replicas take it."""
+    manifest = or_exit(read_manifest(name, weight_sources))
+    store = ObjectStore(url=object_api_url, metrics=Metrics())
+    stored = or_exit(read_stored(store)).configuration
+    if expect_generation is None:
+        expect_generation = stored.generation
+    proposed = or_exit(pushed(stored, service, manifest, priority))
+    addresses = agent_addresses(stored, service, vm_list_url)
+    before = progress_of(name, read_statuses(addresses))
+    applied = or_exit(
+        apply_configuration(store, proposed, expected_generation=expect_generation)
+    )
+    click.echo(f"accepted as generation {applied.generation}", err=True)
+    if not no_wait:
+        follow(
+            lambda: progress_of(name, read_statuses(addresses)).since(before),
+            timeout_seconds,
+        )
+
+
+@model.command()
+@click.option("--service", help="Only this service.")
+@store_option
+@vm_list_option
+def status(service: str | None, object_api_url: str, vm_list_url: str) -> None:
+    """Report on which replicas the configured model versions are."""
+    store = ObjectStore(url=object_api_url, metrics=Metrics())
+    stored = or_exit(read_stored(store)).configuration
+    complete = True
+    for name, version in sorted(model_services(stored, service).items()):
+        addresses = agent_addresses(stored, name, vm_list_url)
+        progress = progress_of(version, read_statuses(addresses))
+        click.echo(json.dumps({"service": name, **progress.as_json()}))
+        complete = complete and progress.is_complete
+    if not complete:
+        sys.exit(EXIT_INCOMPLETE)
+
+
+def read_manifest(
+    name: str, weight_sources: tuple[str, ...]
+) -> Result[Manifest, ResultError]:
+    """Return the manifest of a version from the first source that has it."""
+    result: Result = Error(ResultError(code=ResultCode.SOURCE_UNAVAILABLE))
+    for url in weight_sources:
+        source = WeightSourceClient(url=url)
+        result = source.manifest(name).bind(parse_manifest)
+        source.close()
+        if result.is_ok():
+            break
+    return result
+
+
+def pushed(
+    stored: Configuration, service: str, manifest: Manifest, priority: int
+) -> Result[Configuration, ResultError]:
+    """Return the configuration in which a service has the version of a manifest.
+
+    A name that stands for other weights already is refused, since engines and
+    callers tell model versions apart by name.
+    """
+    found = stored.services.get(service)
+    if found is None or found.kind is not ServiceKind.MODEL:
+        names = sorted(model_services(stored, None)) or "none is configured"
+        return _invalid("service", service, f"a model service: {names}")
+    known = stored.model_versions.get(manifest.version)
+    if known is not None and known.manifest != manifest.digest:
+        return _invalid(
+            "name", manifest.version, f"a new name; it stands for {known.manifest}"
+        )
+    version = ModelVersion(
+        name=manifest.version,
+        manifest=manifest.digest,
+        size_bytes=manifest.size_bytes,
+        priority=priority,
+    )
+    proposed = evolve(
+        stored,
+        model_versions={**stored.model_versions, version.name: version},
+        services={
+            **stored.services,
+            service: evolve(found, model_version=version.name),
+        },
+    )
+    problems = tuple(check(proposed))
+    if problems:
+        return Error(
+            ResultError(code=ResultCode.CONFIGURATION_INVALID, problems=problems)
+        )
+    return Ok(proposed)
+
+
+def model_services(cfg: Configuration, only: str | None) -> dict[str, str]:
+    """Return the model version of each model service by its name."""
+    return {
+        name: service.model_version
+        for name, service in cfg.services.items()
+        if service.kind is ServiceKind.MODEL and only in (None, name)
+    }
+
+
+def agent_addresses(
+    cfg: Configuration, service: str, vm_list_url: str
+) -> Mapping[str, str]:
+    """Return the node addresses of the agents of a service, or exit.
+
+    An agent that the VM list lacks has the unusable address `0.0.0.0:0`, so
+    that it is reported as out of reach.
+    """
+    entries = or_exit(VmListClient(url=vm_list_url).read()).entries
+    return {
+        vm.name: entries[vm.name].node_address if vm.name in entries else "0.0.0.0:0"
+        for vm in cfg.backend_servers_of(service)
+    }
+
+
+def follow(read: Callable[[], PushProgress], timeout_seconds: float) -> None:
+    """Show progress until it is complete; exit with status 3 at the timeout."""
+    show = _show_bar if sys.stdout.isatty() else _show_lines
+    if not show(read, timeout_seconds):
+        sys.exit(EXIT_INCOMPLETE)
+
+
+def _show_lines(read: Callable[[], PushProgress], timeout_seconds: float) -> bool:
+    clock = SystemClock()
+    deadline = clock.monotonic() + timeout_seconds
+    while True:
+        progress = read()
+        click.echo(json.dumps(progress.as_json()))
+        if progress.is_complete or clock.monotonic() >= deadline:
+            return progress.is_complete
+        clock.sleep(POLL_SECONDS)
+
+
+def _show_bar(read: Callable[[], PushProgress], timeout_seconds: float) -> bool:
+    clock = SystemClock()
+    deadline = clock.monotonic() + timeout_seconds
+    columns = (
+        TextColumn("{task.description}"),
+        BarColumn(),
+        TextColumn("{task.percentage:>3.0f}%"),
+        TimeElapsedColumn(),
+        TextColumn("{task.fields[detail]}"),
+    )
+    with Progress(*columns, console=Console()) as bar:
+        task = bar.add_task("weights", total=1.0, detail="")
+        while True:
+            progress = read()
+            bar.update(task, completed=progress.held, detail=detail_of(progress))
+            if progress.is_complete or clock.monotonic() >= deadline:
+                return progress.is_complete
+            clock.sleep(POLL_SECONDS)
+
+
+def detail_of(progress: PushProgress) -> str:
+    """Return one line about replicas, bytes and the slowest agents."""
+    megabytes = f"origin {progress.origin_bytes / 1e6:.1f} MB, between regions "
+    megabytes += f"{progress.region_bytes / 1e6:.1f} MB"
+    slowest = ", ".join(f"{one.agent} ({one.reason})" for one in progress.slowest)
+    text = f"{progress.ready}/{progress.replicas} replicas, {megabytes}"
+    return f"{text}, slowest: {slowest}" if slowest else text
+
+
+def or_exit(result: Result):
+    """Return the value of a result, or write its error and exit."""
+    return result.ok if result.is_ok() else _fail(result.error)
+
+
+def _fail(error: ResultError) -> NoReturn:
+    message = error.as_json()["message"]
+    click.echo(f"error {int(error.code)} {error.code.name}: {message}", err=True)
+    for problem in error.problems:
+        click.echo(f"  {problem}", err=True)
+    invalid = error.code is ResultCode.CONFIGURATION_INVALID
+    sys.exit(EXIT_INVALID if invalid else EXIT_FAILED)
+
+
+def _invalid(field: str, value: str, allowed: str) -> Result:
+    problem = Problem(field=field, value=value, allowed=allowed)
+    return Error(
+        ResultError(code=ResultCode.CONFIGURATION_INVALID, problems=(problem,))
+    )
