Test the agent as a process in failures of its surroundings

The request path was tested only where nothing fails.

The time after which a slow reader loses its place in the engine becomes a setting, so that its test need not wait 5 s.

--- a/packages/agent/eelgrassdale_agent/cli.py
+++ b/packages/agent/eelgrassdale_agent/cli.py
@@ -35,6 +35,11 @@
 )
 @click.option("--key-bytes", default="67108864", help="Bound of answers kept by key.")
 @click.option("--max-keys", default="10000", help="Bound of remembered keys.")
+@click.option(
+    "--slow-reader-seconds",
+    default="5",
+    help="Wait for a slow reader before its engine stream is cancelled.",
+)
 @click.option(
     "--drain-seconds", default="35", help="Longest wait for requests at SIGTERM."
 )
--- a/packages/agent/eelgrassdale_agent/program.py
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -134,6 +134,7 @@
             clock=context.clock,
             metrics=context.metrics,
             tracer=context.tracer,
+            slow_reader_seconds=self._cfg.slow_reader_seconds,
         )
 
     def _new_weights(self) -> WeightsTask:
--- a/packages/agent/eelgrassdale_agent/settings.py
+++ b/packages/agent/eelgrassdale_agent/settings.py
@@ -24,7 +24,8 @@
     `region_bytes_per_second` what weights may use of the link between regions.
     `origin_region` is the region of the weight sources, empty when unknown.
     `chunk_memory_bytes`, `buffer_bytes` and `key_bytes` bound the chunks held
-    for peers, the answers held for readers and the answers of keys.
+    for peers, the answers held for readers and the answers of keys. A reader
+    that frees no space for `slow_reader_seconds` loses its place in the engine.
     """
 
     backend_url: str = field(default="", validator=url)
@@ -60,6 +61,9 @@
     max_keys: int = field(
         default=10_000, converter=parse_int, validator=number_between(1, 1_000_000)
     )
+    slow_reader_seconds: float = field(
+        default=5.0, converter=parse_float, validator=number_between(0.1, 600)
+    )
     drain_seconds: float = field(
         default=35.0, converter=parse_float, validator=number_between(0, 600)
     )
--- a/packages/agent/eelgrassdale_agent/work.py
+++ b/packages/agent/eelgrassdale_agent/work.py
@@ -17,8 +17,6 @@
 from eelgrassdale_agent.gate import AdmissionGate
 from eelgrassdale_agent.plain import PlainClient, PlainRequest
 
-# A reader that frees no space for this time loses its place in the engine.
-SLOW_READER_SECONDS = 5.0
 # Longest wait for one read from the backend server.
 READ_SECONDS = 30.0
 # Header of a failed last frame that tells the cause.
@@ -86,6 +84,9 @@
         Learns of every completion.
     clock, metrics, tracer : Clock, Metrics, Tracer
         Time and telemetry of the process.
+    slow_reader_seconds : float
+        A reader that frees no space for this time loses its place in the
+        engine.
     """
 
     def __init__(
@@ -97,7 +98,9 @@
         clock: Clock,
         metrics: Metrics,
         tracer: Tracer,
+        slow_reader_seconds: float = 5.0,
     ) -> None:
+        self._slow_reader_seconds = slow_reader_seconds
         self._engine = engine
         self._plain = plain
         self._gate = gate
@@ -317,7 +320,9 @@
     def _space(self, job: Job) -> Space:
         if job.stop_code is not None:
             return Space.GONE
-        return job.answer.wait_for_space(epoch=job.epoch, seconds=SLOW_READER_SECONDS)
+        return job.answer.wait_for_space(
+            epoch=job.epoch, seconds=self._slow_reader_seconds
+        )
 
     def _failed(self, job: Job, exc: BackendError) -> Finish:
         if job.stop_code is not None:
--- a/packages/standins/eelgrassdale_standins/tests/agentlab.py
+++ b/packages/standins/eelgrassdale_standins/tests/agentlab.py
@@ -2,8 +2,6 @@
 
 import time
 
-from attrs import evolve
-
 from eelgrassdale.catalog import DataCentre, Service, ServiceKind, Vm
 from eelgrassdale.catalog.encoding import encode_object
 from eelgrassdale.hashing import digest_of
@@ -17,11 +15,13 @@
     Envelope,
     NodeConnection,
 )
-from eelgrassdale_standins.control import url_of
+from eelgrassdale_standins.control import counts_of, is_healthy, url_of
 from eelgrassdale_standins.processes import (
     Command,
+    Ports,
     Process,
     program_arguments,
+    standin_arguments,
     wait_until,
 )
 
@@ -29,6 +29,7 @@
 PLACE = "xela"
 CALL_SECONDS = 10.0
 UNUSED_URL = "http://127.0.0.1:9"
+PRELOAD = ("--preload", "v1:manifest-1:weights-1", "--token-ms", 1)
 
 MODEL = Service(
     name="drafting",
@@ -55,13 +56,16 @@
         Log of the process.
     service : Service
         What the agent serves.
+    options : sequence
+        Further options of the agent.
     """
 
-    def __init__(self, *, address, backend, log, service):
+    def __init__(self, *, address, backend, log, service, options=()):
         self.address = address
+        self.backend = backend
         self.service = service
         self.generation = 0
-        options = {
+        required = {
             "--name": NAME,
             "--data-centre": PLACE,
             "--region": "occidente",
@@ -70,13 +74,23 @@
             "--object-api-url": UNUSED_URL,
             "--vm-list-url": UNUSED_URL,
         }
-        flat = [part for pair in options.items() for part in pair]
-        arguments = program_arguments("eelgrassdale-agent", flat)
+        flat = [part for pair in required.items() for part in pair]
+        arguments = program_arguments("eelgrassdale-agent", [*flat, *options])
         self.process = Process(Command(name="agent", arguments=arguments, log=log))
         self.conn = NodeConnection(address=address)
+
+    def wait_ready(self):
+        """Wait until the process answers."""
         wait_until(self._answers, seconds=20, what="probe of the agent")
 
-    def call(self, name, *arguments, remaining_ms=20_000, sender="entry-1"):
+    def call(
+        self,
+        name,
+        *arguments,
+        remaining_ms=20_000,
+        sender="entry-1",
+        timeout_seconds=CALL_SECONDS,
+    ):
         """Call the agent as an entry node."""
         envelope = Envelope(
             sender=sender,
@@ -85,7 +99,9 @@
             traceparent="",
             generation=self.generation,
         )
-        return self.conn.call(name, envelope, *arguments, timeout_seconds=CALL_SECONDS)
+        return self.conn.call(
+            name, envelope, *arguments, timeout_seconds=timeout_seconds
+        )
 
     def configure(self, *, place=None, vm=None):
         """Bring a configuration with the agent's service into force."""
@@ -173,6 +189,18 @@
                     return data, frame
         raise AssertionError(f"no end of {request_id} within {seconds} s")
 
+    def runs(self):
+        """Return how many requests the backend server ran."""
+        return counts_of(self.backend).get("requests", 0)
+
+    def running(self):
+        """Return how many requests the engine holds."""
+        return counts_of(self.backend)["running"]
+
+    def counters(self):
+        """Return the agent's counters."""
+        return self.call("status").counters
+
     def close(self):
         """End the process."""
         self.conn.close()
@@ -186,6 +214,54 @@
             return False
 
 
-def out_of_service(place):
-    """Return the data centre taken out of service."""
-    return evolve(DataCentre(name=place, region="occidente"), state="out")
+class LabFactory:
+    """Starts agents beside stand-ins and ends all of them.
+
+    Parameters
+    ----------
+    directory : Path
+        Directory of the logs.
+    """
+
+    def __init__(self, *, directory):
+        self._directory = directory
+        self._ports = Ports()
+        self._labs = []
+        self._standins = []
+
+    def start_model(self, service, *, engine=(), agent=()):
+        """Start an agent beside an engine with weights."""
+        return self._start(service, "engine", (*PRELOAD, *engine), agent)
+
+    def start_plain(self, service):
+        """Start an agent beside a plain service."""
+        return self._start(service, "plainservice", (), ())
+
+    def close(self):
+        """End all processes."""
+        for lab in self._labs:
+            lab.close()
+        for standin in self._standins:
+            standin.kill()
+        self._ports.close()
+
+    def _start(self, service, module, options, agent_options):
+        backend = self._ports.new_address()
+        log = self._directory / f"{len(self._standins)}-{module}.log"
+        arguments = standin_arguments(module, backend, *options)
+        self._standins.append(
+            Process(Command(name=module, arguments=arguments, log=log))
+        )
+        lab = AgentLab(
+            address=self._ports.new_address(),
+            backend=backend,
+            log=self._directory / f"{len(self._labs)}-agent.log",
+            service=service,
+            options=agent_options,
+        )
+        self._labs.append(lab)
+        lab.wait_ready()
+        wait_until(lambda: is_healthy(backend), seconds=20, what=f"health of {module}")
+        lab.configure()
+        lab.wait_accepting()
+        return lab
--- a/packages/standins/eelgrassdale_standins/tests/conftest.py
+++ b/packages/standins/eelgrassdale_standins/tests/conftest.py
@@ -11,6 +11,7 @@
     standin_arguments,
     wait_until,
 )
+from eelgrassdale_standins.tests.agentlab import DESK, MODEL, LabFactory
 from eelgrassdale_standins.tests.failures import MODELS, restore
 from eelgrassdale_standins.topology import small
 
@@ -57,3 +58,23 @@
     restore(shared_deployment)
     yield shared_deployment
     assert shared_deployment.violations() == 0
+
+
+@pytest.fixture(scope="module")
+def labs(tmp_path_factory):
+    """Start agents beside stand-ins and end them after the module's tests."""
+    factory = LabFactory(directory=tmp_path_factory.mktemp("labs"))
+    yield factory
+    factory.close()
+
+
+@pytest.fixture(scope="module")
+def model(labs):
+    """An agent beside an engine with weights, shared by tests that leave it as is."""
+    return labs.start_model(MODEL)
+
+
+@pytest.fixture(scope="module")
+def desk(labs):
+    """An agent beside a plain service, shared by tests that leave it as is."""
+    return labs.start_plain(DESK)
