Wait for leftover reservations between failure tests

A reservation of the test before outlives its killed agent, and the wait for a running request took that one for its own. Ruled out: the agent; it was frozen before the request reached it. Change: restore waits until no backend server runs a request.

--- a/packages/standins/eelgrassdale_standins/tests/failures.py
+++ b/packages/standins/eelgrassdale_standins/tests/failures.py
@@ -49,6 +49,18 @@
     store = deployment.addresses.platform[OBJECT_API]
     set_faults(store, outage=False, slow_seconds=0.0, lose_answers=0)
     deployment.wait_until_ready()
+    # A reservation of an earlier test may outlive its killed agent; a test that
+    # waits for its own to run would take that one for it.
+    wait_until(
+        lambda: (
+            not any(
+                counts_of(deployment.addresses.backend[agent.name])["running"]
+                for agent in topology.agents
+            )
+        ),
+        seconds=WAIT_SECONDS,
+        what="no backend server runs a request",
+    )
     for entry in topology.entries:
         wait_until_served(deployment, entry.name)
 
