Wait for a reader to drain instead of polling for it

While all readers of an agent are at their bound, its poll task looked at every stream 20 times a second. Now a reader that drains half its window ends the pause, and windows below a quarter are not asked for.

--- a/packages/entry/eelgrassdale_entry/channel.py
+++ b/packages/entry/eelgrassdale_entry/channel.py
@@ -10,6 +10,8 @@
 from eelgrassdale.results import ResultCode
 from eelgrassdale_entry.memory import PIECE_BYTES, READER_WINDOW_BYTES, ReaderMemory
 
+# A smaller window is not worth a poll.
+MIN_WINDOW_BYTES = READER_WINDOW_BYTES // 4
 UTF8_CONTINUATION_MASK = 0xC0
 UTF8_CONTINUATION = 0x80
 
@@ -83,13 +85,22 @@
         self._offset = 0
         self._tail: bytes | None = None
         self._closed = False
+        self._on_room: Callable[[], None] | None = None
 
-    def reserve(self) -> int:
-        """Reserve and return the bytes this reader may be sent by the agent."""
+    def reserve(self, on_room: Callable[[], None]) -> int:
+        """Reserve and return the bytes this reader may be sent by the agent.
+
+        After a return of 0, `on_room` is called once when half the window of
+        this reader is free.
+        """
         with self._lock:
             if self._closed or self._tail is not None:
                 return 0
             held = len(self._text)
+            is_full = held > READER_WINDOW_BYTES - MIN_WINDOW_BYTES
+            self._on_room = on_room if is_full else None
+        if is_full:
+            return 0
         wanted = READER_WINDOW_BYTES - held
         return self._memory.reserve(wanted=wanted, held=held)
 
@@ -175,6 +186,12 @@
         """Free bytes that the socket accepted."""
         if count:
             self._memory.release(count)
+        with self._lock:
+            on_room = self._on_room
+            if on_room is None or len(self._text) > READER_WINDOW_BYTES // 2:
+                return
+            self._on_room = None
+        on_room()
 
     def close(self) -> None:
         """Drop what is held; later writes are dropped as well."""
--- a/packages/entry/eelgrassdale_entry/messages.py
+++ b/packages/entry/eelgrassdale_entry/messages.py
@@ -1,6 +1,6 @@
 """Typed messages between the tasks of an entry node."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 from attrs import Factory, frozen
@@ -15,8 +15,11 @@
 class AnswerSink(Protocol):
     """Where the answer to one request goes; no method blocks."""
 
-    def reserve(self) -> int:
-        """Reserve and return the bytes that may be asked for now."""
+    def reserve(self, on_room: Callable[[], None]) -> int:
+        """Reserve and return the bytes that may be asked for now.
+
+        `on_room` is called when a full reader has room again.
+        """
         ...
 
     def settle(self, *, reserved: int, received: int) -> None:
--- a/packages/entry/eelgrassdale_entry/polling.py
+++ b/packages/entry/eelgrassdale_entry/polling.py
@@ -25,8 +25,11 @@
 POLL_WAIT_MS = 500
 # While a reader is at its bound it is missing from the poll; this bounds its
 # delay after it drained.
-HELD_BACK_POLL_WAIT_MS = 25
-# Pause when every reader is at its bound, and after a failed poll.
+HELD_BACK_POLL_WAIT_MS = 50
+# Longest pause while every reader is at its bound or at the node's bound; one
+# that drains ends it.
+HELD_BACK_SECONDS = 0.25
+# Pause after a failed poll.
 PAUSE_SECONDS = 0.05
 # An agent that took work a short time ago is polled every second, which also
 # stands for the runtime's probe; others less often, to save control traffic.
@@ -82,7 +85,7 @@
 
     def _run(self) -> None:
         while not self._closed:
-            streams = self._streams.reserve_windows()
+            streams = self._streams.reserve_windows(self._changed.set)
             self._poll(streams)
             if not streams:
                 self._changed.wait(self._pause_seconds())
@@ -92,7 +95,7 @@
 
     def _pause_seconds(self) -> float:
         if len(self._streams):
-            return PAUSE_SECONDS
+            return HELD_BACK_SECONDS
         unused = self._context.clock.monotonic() - self._used_at
         return (
             IDLE_POLL_SECONDS if unused < RECENTLY_USED_SECONDS else REST_POLL_SECONDS
--- a/packages/entry/eelgrassdale_entry/sinks.py
+++ b/packages/entry/eelgrassdale_entry/sinks.py
@@ -1,6 +1,7 @@
 """Where answers go: a stream for a model service, a body for a plain one."""
 
 import threading
+from collections.abc import Callable
 from http import HTTPStatus
 
 from eelgrassdale.results import ResultCode, ResultError
@@ -18,9 +19,9 @@
     def __init__(self, *, channel: Channel) -> None:
         self.channel = channel
 
-    def reserve(self) -> int:
+    def reserve(self, on_room: Callable[[], None]) -> int:
         """Reserve and return the bytes that may be asked for now."""
-        return self.channel.reserve()
+        return self.channel.reserve(on_room)
 
     def settle(self, *, reserved: int, received: int) -> None:
         """Turn a reservation into bytes that `write` will be given."""
--- a/packages/entry/eelgrassdale_entry/streams.py
+++ b/packages/entry/eelgrassdale_entry/streams.py
@@ -1,6 +1,7 @@
 """The streams that an entry node reads from one agent."""
 
 import threading
+from collections.abc import Callable
 
 from attrs import define
 
@@ -66,12 +67,15 @@
         with self._lock:
             return self._streams.pop(stream_key(attempt), None) is not None
 
-    def reserve_windows(self) -> list[Stream]:
-        """Return the streams whose readers have room, each with its window."""
+    def reserve_windows(self, on_room: Callable[[], None]) -> list[Stream]:
+        """Return the streams whose readers have room, each with its window.
+
+        `on_room` is called when one of the others has room again.
+        """
         with self._lock:
             streams = list(self._streams.values())
         for stream in streams:
-            stream.reserved = stream.sink.reserve()
+            stream.reserved = stream.sink.reserve(on_room)
         return [stream for stream in streams if stream.reserved]
 
     def take_lost(self, *, keep_incarnation: int = 0) -> list[Stream]:
