Bound control traffic by fewer probers and a byte allowance

Cause: every entry node probed every agent of its bounded set, so an agent's traffic grew with the number of entry nodes. Now three entry nodes of the data centre and about two others probe an agent, and probes take what other control messages leave of 1600 bytes/s. Entry nodes that use an agent without probing it learn of its failure on the data path and from expiring verdicts in comparisons.

--- a/packages/core/eelgrassdale/node/health.py
+++ b/packages/core/eelgrassdale/node/health.py
@@ -21,9 +21,11 @@
 COMPARE_JITTER = (0.75, 1.25)
 PROBE_SECONDS = 1.0
 PROBED_ENTRY_NODES = 2
-# Probes of agents that one node starts per second. A probe and its answer
-# take about 250 bytes, and all control traffic has 2 KB/s.
-AGENT_PROBES_PER_SECOND = 4
+# Control traffic that one node aims at; the bound is 2 KB/s, and pushes need
+# the rest. Probes of agents take what other messages leave.
+PROBE_BYTES_PER_SECOND = 1600
+AGENT_PROBES_LEAST = 1.0
+AGENT_PROBES_MOST = 8.0
 # Members that do not answer are probed this often, to notice their return.
 RETURN_PROBE_SECONDS = 2.0
 RETURN_PROBES_PER_SECOND = 4
@@ -62,12 +64,21 @@
         self._probe_limit = probe_limit
         self._probed_at: dict[str, float] = {}
         self._in_flight: set[str] = set()
+        self._assigned: list[str] = []
+        self._assigned_for = -1
+        self._agent_probes = AGENT_PROBES_LEAST
+        self._moved_bytes = 0
 
     def step(self) -> float:
         """Start the probes that are due."""
         members = self._table.current()
         now = self._context.clock.monotonic()
         self._table.expire_hints()
+        moved = self._links.moved_bytes
+        self._agent_probes = next_allowance(
+            self._agent_probes, moved - self._moved_bytes
+        )
+        self._moved_bytes = moved
         due = self._due(members, now)
         for name in due:
             if name in members.by_name and name not in self._in_flight:
@@ -80,7 +91,9 @@
         return PROBE_SECONDS
 
     def _due(self, members: Members, now: float) -> list[str]:
-        names = returning_members(members, self._states(self._unreachable(), now), now)
+        names = returning_members(
+            members, self._states(self._table.unreachable(), now), now
+        )
         if self._context.identity.role is Role.ENTRY:
             others = probed_entry_nodes(
                 members, self._context.identity, PROBED_ENTRY_NODES
@@ -88,14 +101,19 @@
             names += stalest(
                 self._states(others, now), now=now, limit=PROBED_ENTRY_NODES
             )
-            agents = probed_agents(members, self._context.identity, self._probe_limit)
+            agents = self._assigned_agents(members)
             names += stalest(
-                self._states(agents, now), now=now, limit=AGENT_PROBES_PER_SECOND
+                self._states(agents, now), now=now, limit=int(self._agent_probes)
             )
         return list(dict.fromkeys(names))
 
-    def _unreachable(self) -> list[str]:
-        return list(self._table.unreachable())
+    def _assigned_agents(self, members: Members) -> list[str]:
+        if self._assigned_for != members.version:
+            self._assigned = probed_agents(
+                members, self._context.identity, self._probe_limit
+            )
+            self._assigned_for = members.version
+        return self._assigned
 
     def _states(self, names: Iterable[str], now: float) -> list[ProbeState]:
         return [
@@ -133,6 +151,27 @@
             self._table.probed_indirectly(suspect.name, incarnation=0, started_at=now)
 
 
+def next_allowance(allowance: float, moved_bytes: int) -> float:
+    """Return how many agents to probe in the next second.
+
+    Parameters
+    ----------
+    allowance : float
+        Probes allowed in the last second.
+    moved_bytes : int
+        Bytes of all control messages in the last second.
+
+    Examples
+    --------
+    >>> next_allowance(4.0, 3000), next_allowance(4.0, 100)
+    (3.5, 4.25)
+
+    """
+    if moved_bytes > PROBE_BYTES_PER_SECOND:
+        return max(AGENT_PROBES_LEAST, allowance - 0.5)
+    return min(AGENT_PROBES_MOST, allowance + 0.25)
+
+
 def stalest(states: Sequence[ProbeState], *, now: float, limit: int) -> list[str]:
     """Return the members to probe now, longest without contact first.
 
@@ -151,7 +190,9 @@
 
     """
     due = [state for state in states if now - state.heard_at >= 0.9 * PROBE_SECONDS]
-    due.sort(key=lambda state: (max(state.probed_at, state.heard_at), state.name))
+    # The sort is stable, so equal members stay in the node's own order and
+    # nodes that start together do not all begin with the same member.
+    due.sort(key=lambda state: max(state.probed_at, state.heard_at))
     return [state.name for state in due[:limit]]
 
 
--- a/packages/core/eelgrassdale/node/links.py
+++ b/packages/core/eelgrassdale/node/links.py
@@ -41,6 +41,7 @@
         self._table: MembersTable = context.members
         self._calls = PeerCalls(on_bytes=self.count_bytes)
         self._lock = threading.Lock()
+        self._moved_bytes = 0
         self._generations: dict[str, int] = {}
         self._vm_versions: dict[str, int] = {}
         self._probe_callbacks: list[Callable[[Member, ProbeAnswer], None]] = []
@@ -48,8 +49,15 @@
 
     def count_bytes(self, amount: int) -> None:
         """Count bytes that control messages moved."""
+        with self._lock:
+            self._moved_bytes += amount
         self._context.metrics.count(CONTROL_BYTES, amount)
 
+    @property
+    def moved_bytes(self) -> int:
+        """Bytes that control messages moved since the start."""
+        return self._moved_bytes
+
     def subscribe_probes(self, callback: Callable[[Member, ProbeAnswer], None]) -> None:
         """Call `callback` with every answer to a probe of a member."""
         self._probe_callbacks.append(callback)
--- a/packages/core/eelgrassdale/spread/watchers.py
+++ b/packages/core/eelgrassdale/spread/watchers.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import math
 import random
 from collections import defaultdict
 from collections.abc import Mapping, Sequence
@@ -18,6 +19,10 @@
 
 WATCHERS_PER_DATA_CENTRE = 2
 PUSHERS_PER_AGENT = 2
+# Entry nodes that probe an agent. A probe with its answer takes about 270
+# bytes, so more probers would exceed an agent's 2 KB/s of control traffic.
+LOCAL_PROBERS = 3
+REMOTE_PROBERS = 2
 # One comparison in this many goes to another data centre.
 REMOTE_COMPARE_ONE_IN = 10
 
@@ -157,21 +162,29 @@
 def probed_agents(members: Members, me: Identity, limit: int) -> list[str]:
     """Return the agents that an entry node probes, at most `limit`.
 
-    Agents of the own data centre come first, each group in the node's own
-    rendezvous order, so different entry nodes cover different agents.
+    Each agent is probed by the first few entry nodes of its data centre by
+    rank. Of the agents elsewhere an entry node takes the first of its own
+    order, as many as give each agent two probers from other data centres.
     """
     agents = [
-        m
-        for m in members.by_name.values()
-        if m.role is Role.BACKEND and m.state is not MemberState.LEAVING
+        member
+        for _, member in sorted(members.by_name.items())
+        if member.role is Role.BACKEND and member.state is not MemberState.LEAVING
     ]
-    local = [m.name for m in agents if m.data_centre == me.data_centre]
-    others = [m.name for m in agents if m.data_centre != me.data_centre]
-    topic = f"probe/{me.name}"
-    ordered = rendezvous_order(topic=topic, members=local) + rendezvous_order(
-        topic=topic, members=others
-    )
-    return ordered[:limit]
+    names = {member.name for member in members.live_entry_nodes(me.data_centre)}
+    names.add(me.name)
+    local = [
+        agent.name
+        for agent in agents
+        if agent.data_centre == me.data_centre
+        and me.name
+        in rendezvous_order(topic=f"probe/{agent.name}", members=names)[:LOCAL_PROBERS]
+    ]
+    remote = [agent.name for agent in agents if agent.data_centre != me.data_centre]
+    entry_nodes = len(members.live_entry_nodes()) or 1
+    share = math.ceil(REMOTE_PROBERS * len(remote) / entry_nodes)
+    chosen = rendezvous_order(topic=f"probe/{me.name}", members=remote)[:share]
+    return (local + chosen)[:limit]
 
 
 def _reachable(members: Members, role: Role) -> list[Member]:
