--- a/packages/standins/eelgrassdale_standins/commands.py
+++ b/packages/standins/eelgrassdale_standins/commands.py
@@ -107,6 +107,8 @@
         addresses.admin[entry.name],
         "--operator-token",
         OPERATOR_TOKEN,
+        "--keep-seconds",
+        topology.keep_seconds,
     )
     return program_arguments(ENTRY_PROGRAM, ("serve", *options))
 
@@ -131,6 +133,7 @@
         url_of(addresses.backend[agent.name]),
         *sources,
         *link,
+        *topology.agent_options,
     )
     return program_arguments(AGENT_PROGRAM, options)
 
