Fail at once when a request is answered before it runs

Cause: a failure test that waits for a request to run times out after 20 s without saying how the request was answered. Change: agent_running takes the answer and shows it. Conclusion: no check is weaker; failures name their cause.

--- a/packages/standins/eelgrassdale_standins/tests/failures.py
+++ b/packages/standins/eelgrassdale_standins/tests/failures.py
@@ -143,11 +143,15 @@
         )
 
 
-def agent_running(deployment: Deployment, service: str) -> str:
-    """Wait until a backend server runs a request of a service; return its agent."""
+def agent_running(deployment: Deployment, service: str, answer: Future[Answer]) -> str:
+    """Wait until a backend server runs a request of a service; return its agent.
+
+    `answer` is the request's; it must not be there before the request runs.
+    """
     found = []
 
     def is_found() -> bool:
+        assert not answer.done(), f"answered before it ran: {answer.result()}"
         found.extend(
             agent.name
             for agent in deployment.topology.agents_of(service)
--- a/packages/standins/eelgrassdale_standins/tests/test_failed_answers.py
+++ b/packages/standins/eelgrassdale_standins/tests/test_failed_answers.py
@@ -19,7 +19,7 @@
     """Return an answer in flight and the agent that holds it."""
     slow_engines(deployment)
     answer = ask(deployment, "entry-0")
-    return answer, agent_running(deployment, LID_ASSISTANT)
+    return answer, agent_running(deployment, LID_ASSISTANT, answer)
 
 
 def process_of(deployment, agent, victim):
