--- a/packages/entry/eelgrassdale_entry/callers.py
+++ b/packages/entry/eelgrassdale_entry/callers.py
@@ -278,10 +278,11 @@
 
 
 def _has_left(sock: socket.socket) -> bool:
-    # The socket has a timeout, with which `recv` waits even for MSG_DONTWAIT.
-    poll = select.poll()
-    poll.register(sock, select.POLLIN)
-    if not poll.poll(0):
+    # A socket with a timeout waits for data before `recv`, also with
+    # MSG_DONTWAIT, and then reports the timeout as an error.
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    if not poller.poll(0):
         return False
     try:
         return sock.recv(1, socket.MSG_PEEK) == b""
