--- a/packages/agent/eelgrassdale_agent/tests/weights_fleet.py
+++ b/packages/agent/eelgrassdale_agent/tests/weights_fleet.py
@@ -55,6 +55,10 @@
     def __init__(self, answer) -> None:
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
+            # Separate small writes of header and body would wait for the
+            # delayed acknowledgement of the client, 40 ms each.
+            disable_nagle_algorithm = True
+            wbufsize = -1
 
             def _reply(self) -> None:
                 length = int(self.headers.get("Content-Length") or 0)
