Detect a closed node connection before sending a call

Cause: after the restart of an agent each entry node still held a connection to the earlier process. Its next submit failed with "read 0 bytes", so the first keyed request was answered KEY_UNREACHABLE, may have run, although nothing was sent to the new process. Ruled out: the key; it named the new incarnation. Change: an idle connection that is readable is closed and opened again before a call is sent; the failure test shows the answer it got. Before and after (pytest of test_failed_reservations.py, repeated): failed in the first and the second of two series after 1 and 5 runs, then 5 runs of 5 passed; the new test of the wire package fails without the change.

--- a/packages/core/eelgrassdale/wire/client.py
+++ b/packages/core/eelgrassdale/wire/client.py
@@ -5,6 +5,7 @@
 say `not run` where that is certain.
 """
 
+import select
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -128,6 +129,10 @@
             client.close()
 
     def _open(self) -> TClient:
+        if self._client is not None and self._is_closed_by_peer():
+            # Found before a byte of the call is sent, so a restart of the peer
+            # does not make the outcome of the first call after it unknown.
+            self.close()
         if self._client is not None:
             return self._client
         address = parse_address(self.address)
@@ -147,3 +152,13 @@
         self._socket = sock
         self._client = TClient(AgentService, protocol)
         return self._client
+
+    def _is_closed_by_peer(self) -> bool:
+        """Return whether the idle connection is readable.
+
+        No call is outstanding, so what can be read is the end of the stream, a
+        reset, or an answer that belongs to no call.
+        """
+        poller = select.poll()
+        poller.register(self._socket.sock, select.POLLIN)
+        return bool(poller.poll(0))
--- a/packages/core/eelgrassdale/wire/tests/test_wire.py
+++ b/packages/core/eelgrassdale/wire/tests/test_wire.py
@@ -60,3 +60,16 @@
         conn.call("probe", Envelope(sender=""), timeout_seconds=2)
     answer = conn.call("probe", Envelope(sender="vm-2"), timeout_seconds=2)
     assert answer.name == "vm-1"
+
+
+def test_restart_of_the_peer_does_not_fail_the_next_call():
+    # Guards against a kept connection to the earlier process: the first
+    # request after a restart was answered as `may have run`.
+    text = free_address()
+    conn = NodeConnection(address=text)
+    for _ in range(2):
+        server = NodeServer(service=NodeService, handler=Handler(), address=text)
+        server.start()
+        answer = conn.call("probe", Envelope(sender="vm-2"), timeout_seconds=2)
+        assert answer.name == "vm-1"
+        server.stop()
--- a/packages/standins/eelgrassdale_standins/tests/failures.py
+++ b/packages/standins/eelgrassdale_standins/tests/failures.py
@@ -163,15 +163,17 @@
     return found[0]
 
 
-def agent_of(deployment: Deployment, reservation: str) -> str:
+def agent_of(deployment: Deployment, reservation: str, answer: Future[Answer]) -> str:
     """Wait until a reservation runs at an order desk; return its agent.
 
-    A request of an earlier test can still run at another order desk, so the
+    `answer` is the request's; it must not be there before the request runs. A
+    request of an earlier test can still run at another order desk, so the
     number of running requests does not tell.
     """
     found = []
 
     def is_found() -> bool:
+        assert not answer.done(), f"answered before it ran: {answer.result()}"
         found.extend(
             agent.name
             for agent in deployment.topology.agents_of(ORDER_DESK)
--- a/packages/standins/eelgrassdale_standins/tests/test_failed_reservations.py
+++ b/packages/standins/eelgrassdale_standins/tests/test_failed_reservations.py
@@ -32,7 +32,7 @@
         """Send it through entry-0 and return the answer to come and its agent."""
         slow_reservations(self.deployment)
         answer = self.send("entry-0")
-        return answer, agent_of(self.deployment, self.name)
+        return answer, agent_of(self.deployment, self.name, answer)
 
     @property
     def runs(self):
