--- a/packages/standins/eelgrassdale_standins/topology.py
+++ b/packages/standins/eelgrassdale_standins/topology.py
@@ -184,7 +184,13 @@
 
 def _lidwright_services() -> tuple[Service, ...]:
     return (
-        Service(name=LID_ASSISTANT, kind=ServiceKind.MODEL, cold_slots=4, max_slots=16),
+        Service(
+            name=LID_ASSISTANT,
+            kind=ServiceKind.MODEL,
+            cold_slots=4,
+            max_slots=16,
+            max_loading=2,
+        ),
         Service(
             name=ORDER_DESK,
             kind=ServiceKind.PLAIN,
