--- a/packages/standins/eelgrassdale_standins/tests/failures.py
+++ b/packages/standins/eelgrassdale_standins/tests/failures.py
@@ -49,6 +49,18 @@
     store = deployment.addresses.platform[OBJECT_API]
     set_faults(store, outage=False, slow_seconds=0.0, lose_answers=0)
     deployment.wait_until_ready()
+    # A reservation of an earlier test may outlive its killed agent; a test that
+    # waits for its own to run would take that one for it.
+    wait_until(
+        lambda: (
+            not any(
+                counts_of(deployment.addresses.backend[agent.name])["running"]
+                for agent in topology.agents
+            )
+        ),
+        seconds=WAIT_SECONDS,
+        what="no backend server runs a request",
+    )
     for entry in topology.entries:
         wait_until_served(deployment, entry.name)
 
@@ -131,11 +143,15 @@
         )
 
 
-def agent_running(deployment: Deployment, service: str) -> str:
-    """Wait until a backend server runs a request of a service; return its agent."""
+def agent_running(deployment: Deployment, service: str, answer: Future[Answer]) -> str:
+    """Wait until a backend server runs a request of a service; return its agent.
+
+    `answer` is the request's; it must not be there before the request runs.
+    """
     found = []
 
     def is_found() -> bool:
+        assert not answer.done(), f"answered before it ran: {answer.result()}"
         found.extend(
             agent.name
             for agent in deployment.topology.agents_of(service)
@@ -147,6 +163,27 @@
     return found[0]
 
 
+def agent_of(deployment: Deployment, reservation: str) -> str:
+    """Wait until a reservation runs at an order desk; return its agent.
+
+    A request of an earlier test can still run at another order desk, so the
+    number of running requests does not tell.
+    """
+    found = []
+
+    def is_found() -> bool:
+        found.extend(
+            agent.name
+            for agent in deployment.topology.agents_of(ORDER_DESK)
+            if reservation
+            in counts_of(deployment.addresses.backend[agent.name])["reservations"]
+        )
+        return bool(found)
+
+    wait_until(is_found, seconds=WAIT_SECONDS, what=f"reservation {reservation} runs")
+    return found[0]
+
+
 def runs_of(deployment: Deployment, reservation: str) -> int:
     """Return how often a reservation ran on all backend servers."""
     return sum(
