Let no request pass between a pause and its record

test_agent_frozen_past_the_deadline_does_not_run_what_waited failed once in seven runs: the request ran after its deadline. The loop of the pause guard set its new tick and released its lock before the gate knew of the pause; a request read in between saw neither. The gate now learns of the pause under that lock.

The answer of a key that was void after admission was never released, because the record lost its ticket; it is kept until the expiry.

Polls gather the tokens of one engine step for 3 ms after a wait and are 10 ms apart instead of 4 ms.

--- a/packages/agent/eelgrassdale_agent/pauses.py
+++ b/packages/agent/eelgrassdale_agent/pauses.py
@@ -70,10 +70,13 @@
             seconds = now - self._ticked_at
             if is_tick or seconds > PAUSE_SECONDS:
                 self._ticked_at = now
+            if seconds > PAUSE_SECONDS:
+                # Under the lock: a request read at the same time must not find
+                # the new tick without the pause.
+                self._gate.apply(ev.PauseSeen, seconds=seconds)
         if seconds > PAUSE_SECONDS:
             log.warning("the process was paused", seconds=round(seconds, 3))
             self._metrics.count(names.PAUSES)
-            self._gate.apply(ev.PauseSeen, seconds=seconds)
 
     def _check(self) -> None:
         if self._gate.is_model() and not self._read_engine():
--- a/packages/agent/eelgrassdale_agent/streams.py
+++ b/packages/agent/eelgrassdale_agent/streams.py
@@ -17,7 +17,10 @@
 MAX_POLL_SECONDS = 5.0
 # Answers to the polls of one entry node are at least this far apart while
 # tokens arrive, so that tokens that are pending together share a message.
-POLL_SPACING_SECONDS = 0.004
+POLL_SPACING_SECONDS = 0.01
+# After a wait the streams of one engine step get this long to arrive together.
+# An answer that is complete does not wait.
+POLL_GATHER_SECONDS = 0.003
 # While a stream of the entry node has had no cursor yet, its polls return this
 # soon, so that the first token does not wait for the end of a long poll.
 NEW_STREAM_POLL_SECONDS = 0.01
@@ -154,10 +157,14 @@
         cursors = list(cursors)
         self._acknowledge(cursors, sender, owner, started)
         self._space_out(owner)
+        waited = False
         while True:
             version = owner.version
             frames = self._frames(cursors, sender)
             now = self._clock.monotonic()
+            if frames and waited and not any(frame.is_last for frame in frames):
+                self._clock.sleep(POLL_GATHER_SECONDS)
+                frames = self._frames(cursors, sender)
             if frames or now >= deadline:
                 owner.last_sent = owner.last_poll = now
                 return frames
@@ -169,6 +176,7 @@
                 owner.changed.wait_for(
                     partial(_has_moved, owner, version), timeout=seconds
                 )
+            waited = True
 
     def cancel(self, name: StreamName, *, sender: str) -> None:
         """End a stream whose caller left."""
--- a/packages/core/eelgrassdale/admission/ledger.py
+++ b/packages/core/eelgrassdale/admission/ledger.py
@@ -22,7 +22,7 @@
     """One remembered key.
 
     `held_bytes` is the size of the answer, or its bound while it runs.
-    `ticket` names the answer; 0 for a refused key.
+    `ticket` names the answer; 0 for a key that was refused before admission.
     """
 
     state: KeyState
@@ -137,9 +137,7 @@
         record = self._records.get(key)
         if record is None:
             return
-        refused = evolve(
-            record, state=KeyState.REFUSED, code=code, held_bytes=0, ticket=0
-        )
+        refused = evolve(record, state=KeyState.REFUSED, code=code, held_bytes=0)
         self._replace(key, record, refused)
 
     def drop_expired(self, *, now_ms: int) -> list[int]:
--- a/packages/core/eelgrassdale/admission/tests/test_machine.py
+++ b/packages/core/eelgrassdale/admission/tests/test_machine.py
@@ -198,6 +198,15 @@
     assert again.code == C.KEY_REFUSED
 
 
+def test_answer_of_void_key_is_released_at_its_expiry():
+    # The ticket was once dropped with the key, and its answer never released.
+    admission = ready_admission()
+    first = admission.apply(submitted("r1", key=key(), key_digest="d"))
+    complete(admission, first.ticket, now=11.0, healthy=False, code=C.NO_BACKEND_SERVER)
+    admission.apply(ev.EngineLost(now=61.0))
+    assert admission.take_expired() == [first.ticket]
+
+
 def test_key_with_other_body_is_mismatch():
     admission = ready_admission()
     admission.apply(submitted("r1", key=key(), key_digest="d"))
--- a/packages/standins/eelgrassdale_standins/tests/agentlab.py
+++ b/packages/standins/eelgrassdale_standins/tests/agentlab.py
@@ -201,6 +201,15 @@
         """Return the agent's counters."""
         return self.call("status").counters
 
+    def admission_trace(self):
+        """Return the whole lines of the recorded trace."""
+        text = self.process.command.log.read_text()
+        return [
+            line
+            for line in text[: text.rfind("\n")].splitlines()
+            if line.startswith(('{"settings"', '{"event"'))
+        ]
+
     def close(self):
         """End the process."""
         self.conn.close()
--- a/packages/standins/eelgrassdale_standins/tests/test_agent.py
+++ b/packages/standins/eelgrassdale_standins/tests/test_agent.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from eelgrassdale.admission import replay
 from eelgrassdale.catalog import DataCentre, DataCentreState, Vm, VmState
 from eelgrassdale.hashing import digest_of
 from eelgrassdale.results import ResultCode
@@ -168,7 +169,7 @@
 
 
 def test_engine_restart_fails_running_and_falls_to_cold(labs):
-    lab = labs.start_model(MODEL)
+    lab = labs.start_model(MODEL, agent=("--trace-admissions",))
     wait_until(lambda: _limit_after_one(lab) > 2, seconds=10, what="limit rises")
     lab.call("submit", lab.request("cut", **LONG))
     wait_running(lab, 1)
@@ -177,6 +178,9 @@
     assert last.code == ResultCode.BACKEND_FAILED
     assert lab.headroom().limit == 2
     assert lab.counters()["violations"] == 0
+    replayed = replay(lab.admission_trace()).ok
+    assert (replayed.difference, replayed.violations) == (None, 0)
+    assert replayed.decisions > 10
 
 
 def _limit_after_one(lab):
