--- a/packages/entry/eelgrassdale_entry/polling.py
+++ b/packages/entry/eelgrassdale_entry/polling.py
@@ -25,8 +25,11 @@
 POLL_WAIT_MS = 500
 # While a reader is at its bound it is missing from the poll; this bounds its
 # delay after it drained.
-HELD_BACK_POLL_WAIT_MS = 25
-# Pause when every reader is at its bound, and after a failed poll.
+HELD_BACK_POLL_WAIT_MS = 50
+# Longest pause while every reader is at its bound or at the node's bound; one
+# that drains ends it.
+HELD_BACK_SECONDS = 0.25
+# Pause after a failed poll.
 PAUSE_SECONDS = 0.05
 # An agent that took work a short time ago is polled every second, which also
 # stands for the runtime's probe; others less often, to save control traffic.
@@ -44,7 +47,7 @@
 
 
 class PollTask:
-    """Polls one agent; only `nudge`, `used` and `close` come from outside."""
+    """Polls one agent; its public methods may be called from any thread."""
 
     def __init__(
         self, *, agent: str, address: str, context: LinkContext, streams: StreamTable
@@ -54,6 +57,8 @@
         self._streams = streams
         self._conn = NodeConnection(address=address, connect_seconds=SILENCE_SECONDS)
         self._changed = threading.Event()
+        self._headroom_wanted = False
+        self._polled_at = float("-inf")
         self._closed = False
         self._used_at = context.clock.monotonic()
         self._silent_since: float | None = None
@@ -72,8 +77,13 @@
         self._closed = True
         self._changed.set()
 
-    def nudge(self) -> None:
-        """Poll soon, because a stream is new or headroom is wanted."""
+    def stream_added(self) -> None:
+        """Read a new stream soon."""
+        self._changed.set()
+
+    def want_headroom(self) -> None:
+        """Poll soon, also without streams."""
+        self._headroom_wanted = True
         self._changed.set()
 
     def used(self) -> None:
@@ -82,23 +92,30 @@
 
     def _run(self) -> None:
         while not self._closed:
-            streams = self._streams.reserve_windows()
-            self._poll(streams)
+            streams = self._streams.reserve_windows(self._changed.set)
+            if streams or self._is_due():
+                self._poll(streams)
             if not streams:
                 self._changed.wait(self._pause_seconds())
                 self._changed.clear()
         self._lose_streams("the link to the agent closed")
         self._conn.close()
 
+    def _is_due(self) -> bool:
+        now = self._context.clock.monotonic()
+        return self._headroom_wanted or now - self._polled_at >= self._pause_seconds()
+
     def _pause_seconds(self) -> float:
         if len(self._streams):
-            return PAUSE_SECONDS
+            return HELD_BACK_SECONDS
         unused = self._context.clock.monotonic() - self._used_at
         return (
             IDLE_POLL_SECONDS if unused < RECENTLY_USED_SECONDS else REST_POLL_SECONDS
         )
 
     def _poll(self, streams: list[Stream]) -> None:
+        self._headroom_wanted = False
+        self._polled_at = self._context.clock.monotonic()
         wait_ms = self._wait_ms(len(streams))
         envelope = self._context.envelope(remaining_ms=wait_ms, traceparent="")
         try:
--- a/packages/standins/eelgrassdale_standins/tests/failures.py
+++ b/packages/standins/eelgrassdale_standins/tests/failures.py
@@ -143,11 +143,15 @@
         )
 
 
-def agent_running(deployment: Deployment, service: str) -> str:
-    """Wait until a backend server runs a request of a service; return its agent."""
+def agent_running(deployment: Deployment, service: str, answer: Future[Answer]) -> str:
+    """Wait until a backend server runs a request of a service; return its agent.
+
+    `answer` is the request's; it must not be there before the request runs.
+    """
     found = []
 
     def is_found() -> bool:
+        assert not answer.done(), f"answered before it ran: {answer.result()}"
         found.extend(
             agent.name
             for agent in deployment.topology.agents_of(service)
@@ -159,6 +163,29 @@
     return found[0]
 
 
+def agent_of(deployment: Deployment, reservation: str, answer: Future[Answer]) -> str:
+    """Wait until a reservation runs at an order desk; return its agent.
+
+    `answer` is the request's; it must not be there before the request runs. A
+    request of an earlier test can still run at another order desk, so the
+    number of running requests does not tell.
+    """
+    found = []
+
+    def is_found() -> bool:
+        assert not answer.done(), f"answered before it ran: {answer.result()}"
+        found.extend(
+            agent.name
+            for agent in deployment.topology.agents_of(ORDER_DESK)
+            if reservation
+            in counts_of(deployment.addresses.backend[agent.name])["reservations"]
+        )
+        return bool(found)
+
+    wait_until(is_found, seconds=WAIT_SECONDS, what=f"reservation {reservation} runs")
+    return found[0]
+
+
 def runs_of(deployment: Deployment, reservation: str) -> int:
     """Return how often a reservation ran on all backend servers."""
     return sum(
