Bound the links of an entry node over all services

Cause: the subset is bounded for each service, so links, threads and idle polls grew with the number of services: 20 services of 32 backend servers each are 640 links and 1,280 threads at one entry node. Ruled out: a smaller subset for every service, which takes the choice from deployments with few services. Conclusion: 20 services make 80 links; not measured with processes.

--- a/packages/core/eelgrassdale/routing/__init__.py
+++ b/packages/core/eelgrassdale/routing/__init__.py
@@ -7,7 +7,7 @@
 from eelgrassdale.routing.outcomes import final_code, keyed_code
 from eelgrassdale.routing.regions import RegionBudget
 from eelgrassdale.routing.retry import RetryBudget, may_send_again
-from eelgrassdale.routing.subset import choose_subset
+from eelgrassdale.routing.subset import choose_subset, subset_size
 
 __all__ = [
     "AgentView",
@@ -28,4 +28,5 @@
     "keyed_code",
     "may_send_again",
     "parse_key",
+    "subset_size",
 ]
--- a/packages/core/eelgrassdale/routing/subset.py
+++ b/packages/core/eelgrassdale/routing/subset.py
@@ -10,6 +10,28 @@
 # Places kept for backend servers outside the own data centre, so that work can
 # be passed on at once when the own data centre goes out of service.
 OUTSIDE_SHARE = 0.25
+# Links to all services together. A link costs two threads and two connections.
+MAX_LINKS = 64
+# Fewer backend servers for a service would leave no choice when one is busy.
+MIN_SUBSET_SIZE = 4
+
+
+def subset_size(*, services: int, size: int, max_links: int) -> int:
+    """Return how many backend servers a node uses for each of its services.
+
+    It is `size` while the links of all services stay within `max_links`, and an
+    equal share of them beyond that.
+
+    Examples
+    --------
+    >>> subset_size(services=2, size=32, max_links=64)
+    32
+    >>> subset_size(services=20, size=32, max_links=64)
+    4
+
+    """
+    share = max_links // max(services, 1)
+    return min(size, max(share, MIN_SUBSET_SIZE))
 
 
 def choose_subset(
--- a/packages/core/eelgrassdale/routing/tests/test_subset.py
+++ b/packages/core/eelgrassdale/routing/tests/test_subset.py
@@ -3,7 +3,7 @@
 from eelgrassdale.identity import Role
 from eelgrassdale.membership.members import Member
 from eelgrassdale.routing.choice import Place
-from eelgrassdale.routing.subset import choose_subset
+from eelgrassdale.routing.subset import choose_subset, subset_size
 
 HERE = Place(data_centre="n1", region="n")
 
@@ -51,3 +51,11 @@
 def test_entry_nodes_spread_over_all_backend_servers():
     used = {name for n in range(60) for name in subset(members(100), node=f"e{n}")}
     assert len(used) > 90
+
+
+def test_links_of_many_services_stay_within_the_bound():
+    # Guards against threads and polls that grow with the number of services.
+    for services in range(1, 17):
+        size = subset_size(services=services, size=32, max_links=64)
+        assert size * services <= 64
+        assert size >= 4
--- a/packages/entry/eelgrassdale_entry/agents.py
+++ b/packages/entry/eelgrassdale_entry/agents.py
@@ -9,7 +9,12 @@
 from eelgrassdale.identity import Role
 from eelgrassdale.membership.members import Member, Members, MemberState
 from eelgrassdale.routing.choice import AgentView, Place
-from eelgrassdale.routing.subset import SUBSET_SIZE, choose_subset
+from eelgrassdale.routing.subset import (
+    MAX_LINKS,
+    SUBSET_SIZE,
+    choose_subset,
+    subset_size,
+)
 from eelgrassdale.wire import Headroom
 from eelgrassdale_entry.links import AgentLink
 
@@ -56,24 +61,31 @@
         clock: Clock,
         new_link: LinkFactory,
         subset_size: int = SUBSET_SIZE,
+        max_links: int = MAX_LINKS,
     ) -> None:
         self._node = node
         self._place = place
         self._clock = clock
         self._new_link = new_link
         self._subset_size = subset_size
+        self._max_links = max_links
         self._agents: dict[str, AgentState] = {}
         self._subsets: dict[str, tuple[str, ...]] = {}
 
     def update(self, cfg: Configuration, members: Members) -> None:
         """Recompute the subsets and open or close links accordingly."""
+        size = subset_size(
+            services=len(cfg.services),
+            size=self._subset_size,
+            max_links=self._max_links,
+        )
         self._subsets = {
             service: choose_subset(
                 service=service,
                 node=self._node,
                 place=self._place,
                 members=usable_members(cfg, members, service),
-                size=self._subset_size,
+                size=size,
             )
             for service in cfg.services
         }
--- a/packages/entry/eelgrassdale_entry/program.py
+++ b/packages/entry/eelgrassdale_entry/program.py
@@ -178,6 +178,7 @@
                 agent=agent, address=address, context=links
             ),
             subset_size=self._cfg.subset_size,
+            max_links=self._cfg.max_links,
         )
         return Dispatcher(
             context=DispatcherContext(
--- a/packages/entry/eelgrassdale_entry/settings.py
+++ b/packages/entry/eelgrassdale_entry/settings.py
@@ -60,6 +60,7 @@
     caller_threads: int = _integer(64, 4, 1024)
     service_threads: int = _integer(16, 1, 1024)
     subset_size: int = _integer(32, 1, 512)
+    max_links: int = _integer(64, 16, 4096)
     region_bytes_per_second: int = _integer(1_500_000, 1024, 1_000_000_000)
 
 
@@ -77,5 +78,6 @@
     ("--caller-threads", "64", "Server threads of the callers' interface."),
     ("--service-threads", "16", "Server threads that one service may keep waiting."),
     ("--subset-size", "32", "Backend servers that this node uses for a service."),
+    ("--max-links", "64", "Links to backend servers of all services together."),
     ("--region-bytes-per-second", "1500000", "Byte budget to other regions."),
 )
