--- a/packages/measures/eelgrassdale_measures/__main__.py
+++ b/packages/measures/eelgrassdale_measures/__main__.py
@@ -17,6 +17,7 @@
     "data_centre_change",
     "configuration_spread",
     "state_size",
+    "failure_detection",
 )
 
 
