Let the agent of a non-idempotent service answer until keys expire

A graceful stop of an order desk's agent under load failed 5 to 7 requests: keys that entry nodes had issued shortly before named an agent that was gone, and their result is KEY_UNREACHABLE, may have run, although they never ran. The agent exited as soon as it was idle.

Issuing keys per request does not help, since an entry node learns of a leaving agent up to a second later. Agents of idempotent services stop as before.

--- a/packages/agent/eelgrassdale_agent/cli.py
+++ b/packages/agent/eelgrassdale_agent/cli.py
@@ -43,6 +43,11 @@
 @click.option(
     "--drain-seconds", default="35", help="Longest wait for requests at SIGTERM."
 )
+@click.option(
+    "--linger-seconds",
+    default="65",
+    help="Time that keys of a non-idempotent service are answered after SIGTERM.",
+)
 @click.option(
     "--trace-admissions",
     is_flag=True,
--- a/packages/agent/eelgrassdale_agent/program.py
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -89,9 +89,11 @@
 
     def stop(self) -> None:
         """Refuse new work, let running requests end, then stop all tasks."""
+        left_at = self.context.clock.monotonic()
         self.gate.apply(ev.Stopping)
         self.runtime.leave()
         drained = self._drain()
+        self._linger(left_at)
         log.info("agent stops", drained=drained)
         self._stopping.set()
         self.weights.stop()
@@ -108,6 +110,19 @@
             clock.sleep(DRAIN_CHECK_SECONDS)
         return False
 
+    def _linger(self, left_at: float) -> None:
+        # The result of a key whose agent is gone is `may have run`. While the
+        # agent answers, an unused key is refused as `not run` and a repeat gets
+        # its answer.
+        cfg = self.context.replica.current()
+        vm = cfg.vms.get(self.context.identity.name)
+        service = cfg.services.get(vm.service) if vm else None
+        if service is None or service.idempotent:
+            return
+        clock = self.context.clock
+        remaining = left_at + self._cfg.linger_seconds - clock.monotonic()
+        clock.sleep(max(0.0, remaining))
+
     def _new_gate(self) -> AdmissionGate:
         context = self.context
         settings = ev.Settings(
--- a/packages/agent/eelgrassdale_agent/settings.py
+++ b/packages/agent/eelgrassdale_agent/settings.py
@@ -67,4 +67,7 @@
     drain_seconds: float = field(
         default=35.0, converter=parse_float, validator=number_between(0, 600)
     )
+    linger_seconds: float = field(
+        default=65.0, converter=parse_float, validator=number_between(0, 660)
+    )
     trace_admissions: bool = False
