Test graceful stops and an engine that restarts empty

A planned stop of each kind of agent and of an entry node under load fails no request; a VM marked leaving gets no new work; an engine that lost its weights gets them again. Deployed engines start with staged chunks, as after a push.

Not covered: the agent of an engine that has its model loaded but no staged chunk owns chunks that it cannot serve. An agent in another region that needs them asks it without end (2 of 4 chunks after 20 s) instead of reading from the origin.

--- a/packages/standins/eelgrassdale_standins/engine.py
+++ b/packages/standins/eelgrassdale_standins/engine.py
@@ -14,6 +14,7 @@
 
 from eelgrassdale.identity import new_incarnation
 from eelgrassdale_standins.batching import Batch, Stream
+from eelgrassdale_standins.models import Weights, make_weights
 from eelgrassdale_standins.serving import (
     StandIn,
     close_connection,
@@ -90,6 +91,18 @@
         """Take weights as loaded without staging, for tests without transfers."""
         self._loaded = loaded
 
+    def stage_and_load(self, version: str, weights: Weights) -> None:
+        """Stage and load weights, as after an earlier push."""
+        for index, chunk in enumerate(weights.pieces()):
+            self._staging.put(weights.manifest_digest, index, chunk)
+        self.preload(
+            Loaded(
+                model_version=version,
+                manifest=weights.manifest_digest,
+                weights=weights.loaded_digest,
+            )
+        )
+
     def start(self) -> None:
         """Start the task that makes tokens."""
         threading.Thread(target=self._make_tokens, daemon=True).start()
@@ -344,6 +357,7 @@
 @click.option("--cache-prefixes", default=64, show_default=True)
 @click.option("--checks-fencing/--ignores-fencing", default=True, show_default=True)
 @click.option("--preload", default="", help="model_version:manifest:weights digest")
+@click.option("--model", default="", help="version:size_bytes:seed:chunk_bytes, loaded")
 def main(**options: object) -> None:
     """Serve a model engine that makes deterministic tokens."""
     root = Engine(
@@ -361,6 +375,13 @@
     if options["preload"]:
         version, manifest, weights = options["preload"].rsplit(":", 2)
         root.preload(Loaded(model_version=version, manifest=manifest, weights=weights))
+    if options["model"]:
+        version, *numbers = options["model"].rsplit(":", 3)
+        size, seed, chunk = map(int, numbers)
+        weights = make_weights(
+            version=version, seed=seed, size_bytes=size, chunk_bytes=chunk
+        )
+        root.stage_and_load(version, weights)
     run(
         root,
         address=options["address"],
--- a/packages/standins/eelgrassdale_standins/load.py
+++ b/packages/standins/eelgrassdale_standins/load.py
@@ -10,7 +10,7 @@
 from eelgrassdale_standins.callers import Answer, Caller, Entries, Outcome
 from eelgrassdale_standins.deployment import Deployment
 
-KEYS_AT_ONCE = 8
+KEYS_AT_ONCE = 2  # used within a second, far below their validity
 MAX_TOKENS = 24
 PAUSE_SECONDS = 0.02
 REPEAT_EVERY = 5  # every fifth confirmed reservation is repeated with its key
--- a/packages/standins/eelgrassdale_standins/models.py
+++ b/packages/standins/eelgrassdale_standins/models.py
@@ -29,6 +29,11 @@
         """Digest of each chunk in order."""
         return json.loads(self.manifest)["chunks"]
 
+    def pieces(self) -> list[bytes]:
+        """Return the chunks in order."""
+        size = json.loads(self.manifest)["chunk_bytes"]
+        return [self.data[at : at + size] for at in range(0, len(self.data), size)]
+
     @property
     def loaded_digest(self) -> str:
         """Digest that an engine reports after it loaded exactly these weights."""
--- a/packages/standins/eelgrassdale_standins/topology.py
+++ b/packages/standins/eelgrassdale_standins/topology.py
@@ -87,6 +87,8 @@
     keep_seconds : int
         How long callers keep a list of entry nodes, which a graceful stop of an
         entry node waits for.
+    key_seconds : int
+        Validity of issued keys, which a graceful stop of an agent waits for.
     agent_options : tuple
         Further options of every agent.
     """
@@ -103,6 +105,7 @@
     backend_options: Mapping[str, tuple[object, ...]] = attrs.Factory(dict)
     is_model_loaded: bool = True
     keep_seconds: int = 2
+    key_seconds: int = 3
     agent_options: tuple[object, ...] = ()
 
     def service(self, name: str) -> Service:
