Take the time since arrival off a deadline at admission

The handler measured the wait before it took the intake's lock, so time that passed after it, in a pause of the process or behind another submit, was not taken off the deadline. It is measured under the lock, directly before the decision.

--- a/packages/agent/eelgrassdale_agent/handler.py
+++ b/packages/agent/eelgrassdale_agent/handler.py
@@ -87,9 +87,7 @@
         received = self._clock.monotonic()
         self._runtime.note(envelope)
         self._guard.before_admission()
-        waited_ms = int((self._clock.monotonic() - received) * 1000)
-        envelope.remaining_ms = (envelope.remaining_ms or 0) - waited_ms
-        return self._intake.submit(envelope, request)
+        return self._intake.submit(envelope, request, received=received)
 
     def poll(
         self, envelope: Envelope, cursors: list[Cursor], wait_ms: int
--- a/packages/agent/eelgrassdale_agent/intake.py
+++ b/packages/agent/eelgrassdale_agent/intake.py
@@ -73,10 +73,18 @@
         self._lock = threading.Lock()
         self._kept: dict[int, Answer] = {}
 
-    def submit(self, envelope: Envelope, request: CallRequest) -> SubmitAnswer:
-        """Admit a request, join the answer of its key, or refuse it."""
+    def submit(
+        self, envelope: Envelope, request: CallRequest, *, received: float
+    ) -> SubmitAnswer:
+        """Admit a request, join the answer of its key, or refuse it.
+
+        `received` is the monotonic time at which the call arrived; the process
+        may have been paused since.
+        """
         prompt = prompt_of(request.body or b"") or ""
         with self._lock:
+            waited_ms = int((self._clock.monotonic() - received) * 1000)
+            envelope.remaining_ms = (envelope.remaining_ms or 0) - waited_ms
             outcome = self._gate.apply(
                 ev.Submitted, **self._facts(envelope, request, prompt)
             )
