--- a/packages/core/eelgrassdale/weights/selection.py
+++ b/packages/core/eelgrassdale/weights/selection.py
@@ -8,9 +8,6 @@
 from eelgrassdale.weights.transfer import Fetch, Plan, TransferState
 
 FEED_LANES = 2
-# Reads that one agent has at the source. All owners begin at the same time and
-# share the source's link, so each further read delays the first chunks.
-SOURCE_READS = 1
 PEER_LANES = 4
 # One read at a time spreads the reads over more holders: with two, 20 agents
 # took 1.19x instead of 1.13x the ideal time in a trial.
@@ -79,8 +76,7 @@
     chunk, unless the chunk has been missing for long, have budget left, and
     not be waiting after a failure of the source.
     """
-    reads = sum(fetch.holder == SOURCE for fetch in state.flights)
-    if now < state.source_not_before or reads >= SOURCE_READS:
+    if now < state.source_not_before:
         return False
     order = owner_order(plan.routes, plan.me.data_centre, index)
     waited = now - state.absent_since.get(index, state.started_at)
