Test operators, store and nodes together in random runs

A state machine with racing operators, lost, late and stale store answers, delayed and repeated deltas between three nodes, and restarts.

--- /dev/null
+++ b/packages/core/eelgrassdale/spread/tests/test_random_spread.py
@@ -0,0 +1,121 @@
+"""Random runs of operators, a store with faults and nodes that exchange deltas.
+
+Guards against a generation that reverts or mixes with another one after stale
+reads, lost answers, racing operators, delayed and repeated messages, restarts
+and nodes that skipped generations.
+"""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from eelgrassdale.catalog import DataCentre
+from eelgrassdale.catalog.encoding import encode_object
+from eelgrassdale.results import ResultCode
+from eelgrassdale.spread.head import (
+    HEAD_NAME,
+    HeadRead,
+    commit_change,
+    decode_head,
+    fetch_delta,
+    read_head,
+)
+from eelgrassdale.spread.replica import Replica
+from eelgrassdale.spread.tests.test_head import FaultyStore
+from eelgrassdale.telemetry import InvariantMonitor, Metrics
+
+NODES = 3
+nodes = st.integers(0, NODES - 1)
+faults = st.lists(
+    st.sampled_from(("ok", "down", "lost", "late", "stale", "race")), max_size=6
+)
+# Data centre names and regions; the region stands for the value of an object.
+contents = st.dictionaries(st.sampled_from("abcd"), st.sampled_from("xy"))
+
+
+class SpreadRun(RuleBasedStateMachine):
+    """Three replicas, one store and two operators with their own reads."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = FaultyStore()
+        self.monitor = InvariantMonitor(metrics=Metrics())
+        self.replicas = [Replica(monitor=self.monitor) for _ in range(NODES)]
+        self.generations = [0] * NODES
+        self.operators = [HeadRead(), HeadRead()]
+        self.messages = []
+        self.count = 0
+
+    @rule(operator=st.integers(0, 1))
+    def operator_reads(self, operator):
+        self.operators[operator] = read_head(self.store).ok
+
+    @rule(operator=st.integers(0, 1), content=contents, met=faults)
+    def operator_changes(self, operator, content, met):
+        self.count += 1
+        name = f"op-{self.count}"
+        objects = [DataCentre(name=n, region=r) for n, r in content.items()]
+        bodies = {encode_object(obj).name: encode_object(obj).body for obj in objects}
+        self.store.faults = list(met)
+        outcome = commit_change(
+            self.store, base=self.operators[operator], bodies=bodies, operation=name
+        )
+        self.store.faults = []
+        accepted = self.store.accepted().count(name)
+        if outcome.is_ok():
+            assert accepted == 1
+        elif outcome.error.code is ResultCode.CONFIGURATION_CONFLICT:
+            assert accepted == 0
+
+    @rule(node=nodes, met=faults)
+    def node_reads_store(self, node, met):
+        self.store.faults = list(met)
+        read = read_head(self.store)
+        state = self.replicas[node].state()
+        delta = read.bind(lambda found: fetch_delta(self.store, found.head, state))
+        self.store.faults = []
+        if delta.is_ok():
+            self.messages.append(delta.ok)
+            self.replicas[node].offer(delta.ok)
+
+    @rule(sender=nodes, base=st.integers(0, 8))
+    def node_sends(self, sender, base):
+        delta = self.replicas[sender].delta_since(base)
+        if delta is not None:
+            self.messages.append(delta)
+
+    @rule(receiver=nodes, data=st.data())
+    def message_arrives_late_or_again(self, receiver, data):
+        if self.messages:
+            self.replicas[receiver].offer(data.draw(st.sampled_from(self.messages)))
+
+    @rule(node=nodes)
+    def node_restarts(self, node):
+        self.replicas[node] = Replica(monitor=self.monitor)
+        self.generations[node] = 0
+
+    @invariant()
+    def generations_only_grow_and_have_the_content_of_the_store(self):
+        heads = [decode_head(b).ok for b in self.store.versions.get(HEAD_NAME, [])]
+        assert [head.generation for head in heads] == list(range(1, len(heads) + 1))
+        for node, replica in enumerate(self.replicas):
+            state = replica.state()
+            assert state.generation >= self.generations[node]
+            self.generations[node] = state.generation
+            digests = {name: obj.digest for name, obj in state.objects.items()}
+            if state.generation:
+                assert digests == heads[state.generation - 1].objects
+        assert self.monitor.count == 0
+
+    def teardown(self):
+        best = max(self.replicas, key=lambda replica: replica.current().generation)
+        full = best.delta_since(0)
+        for replica in self.replicas if full is not None else []:
+            replica.offer(full)
+            assert replica.current() == best.current()
+
+
+SpreadRun.TestCase.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=30, deadline=None
+)
+TestSpreadRun = SpreadRun.TestCase
