--- a/packages/core/eelgrassdale/spread/tests/test_replica.py
+++ b/packages/core/eelgrassdale/spread/tests/test_replica.py
@@ -1,6 +1,9 @@
 """Tests that a replica only moves to higher, complete generations."""
 
+import attrs
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from eelgrassdale.catalog import DataCentre
 from eelgrassdale.catalog.encoding import encode_object
@@ -16,6 +19,11 @@
 from eelgrassdale.telemetry import InvariantMonitor, Metrics
 from eelgrassdale.wire import ConfigDelta, ConfigObject
 
+NAMES = ("a", "b", "c", "d")
+
+# What one generation contains: name -> region, which serves as the value.
+contents = st.dictionaries(st.sampled_from(NAMES), st.sampled_from(("x", "y")))
+
 
 def full_delta(generation: int, content: dict[str, str]) -> ConfigDelta:
     """Return the delta of a whole generation."""
@@ -102,6 +110,41 @@
     assert seen == [1, 3, 4]
 
 
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(data=st.data(), history=st.lists(contents, min_size=1, max_size=6))
+def test_random_exchange_never_reverts_and_converges(data, history):
+    """Guards against mixed generations after skipped, stale and repeated deltas."""
+    replicas = [new_replica() for _ in range(3)]
+    sent: list[ConfigDelta] = []
+    for _ in range(data.draw(st.integers(1, 25))):
+        target = replicas[data.draw(st.integers(0, 2))]
+        action = data.draw(st.sampled_from(("store", "peer", "replay")))
+        delta = None
+        if action == "store":
+            index = data.draw(st.integers(0, len(history) - 1))
+            delta = full_delta(index + 1, history[index])
+        elif action == "peer":
+            peer = replicas[data.draw(st.integers(0, 2))]
+            delta = peer.delta_since(data.draw(st.integers(0, len(history))))
+        elif sent:
+            delta = sent[data.draw(st.integers(0, len(sent) - 1))]
+        if delta is None:
+            continue
+        sent.append(delta)
+        before = target.current().generation
+        target.offer(delta)
+        after = target.current().generation
+        assert after >= before
+        if after:
+            assert content_of(target) == history[after - 1]
+    best = max(replicas, key=lambda replica: replica.current().generation)
+    for replica in replicas:
+        full = best.delta_since(0)
+        if full is not None:
+            replica.offer(full)
+        assert replica.current() == best.current()
+
+
 def test_object_that_changed_back_in_a_skipped_generation_needs_all_objects():
     """A peer at the skipped generation refuses the delta and asks for all."""
     ours, theirs = new_replica(), new_replica()
@@ -111,3 +154,8 @@
     assert not theirs.offer(ours.delta_since(2))
     assert theirs.offer(ours.delta_since(0))
     assert content_of(theirs) == {"a": "x", "b": "x"}
+
+
+def test_states_are_immutable():
+    with pytest.raises(attrs.exceptions.FrozenInstanceError):
+        ReplicaState().head_digest = "x"
--- a/packages/standins/eelgrassdale_standins/tests/test_agent.py
+++ b/packages/standins/eelgrassdale_standins/tests/test_agent.py
@@ -121,6 +121,14 @@
     assert desk.runs() == before + 1
 
 
+def test_lost_answer_of_plain_service_may_have_run(desk):
+    before = desk.runs()
+    set_faults(desk.backend, lose_answers=1)
+    desk.call("submit", desk.request("lost"))
+    assert desk.read("lost")[1].code == ResultCode.BACKEND_FAILED
+    assert desk.runs() == before + 1
+
+
 def test_lost_answer_of_keyed_call_is_repeated_not_run_again(desk):
     before = desk.runs()
     set_faults(desk.backend, lose_answers=1)
