Stage each chunk once and never load after an engine restart unseen

Two lanes could stage the same chunk when a read was repeated; a lane now reserves the write. An engine that cannot list its staging counts as empty after a restart (by its incarnation), so an incomplete set is not loaded. A chunk that staging lost during a transfer is fetched again instead of being reported as a broken invariant.

--- a/packages/agent/eelgrassdale_agent/loading.py
+++ b/packages/agent/eelgrassdale_agent/loading.py
@@ -20,6 +20,7 @@
     predecessors,
 )
 from eelgrassdale_agent.orders import EngineState, OrderClient
+from eelgrassdale_agent.transfer_opening import drop_unstaged
 from eelgrassdale_agent.transfer_store import ChunkStore
 from eelgrassdale_agent.transfer_target import Target
 
@@ -200,7 +201,7 @@
             state, read_at = self._orders.state(), self._context.clock.monotonic()
             if state.is_error():
                 return ResultCode.BACKEND_FAILED
-            if self._missing(store):
+            if drop_unstaged(self._orders, store, state.ok.incarnation):
                 return ResultCode.CHUNK_NOT_HELD
             step = self._step(target, state.ok, read_at)
             if step is Step.READ_STATE:
@@ -224,16 +225,6 @@
             highest_fencing=self._highest_fencing,
         )
 
-    def _missing(self, store: ChunkStore) -> list[int]:
-        """Drop the chunks that the engine's staging lost and return them."""
-        staged = self._orders.staged_indices(store.manifest.digest)
-        if staged.is_error() or staged.ok is None:
-            return []
-        missing = sorted(set(range(store.manifest.count)) - staged.ok)
-        for index in missing:
-            store.drop(index)
-        return missing
-
     def _send(self, target: Target, store: ChunkStore) -> ResultCode:
         fencing = self._context.replica.current().generation
         full = (1 << store.manifest.count) - 1
--- a/packages/agent/eelgrassdale_agent/tests/test_transfer.py
+++ b/packages/agent/eelgrassdale_agent/tests/test_transfer.py
@@ -195,3 +195,18 @@
     assert fleet.agents[2].total("chunks_verified") == 0
     fleet.set_in_service("vm-2", True)
     assert wait_until(lambda: fleet.all_ready("m-1"))
+
+
+@pytest.mark.parametrize("lists_staging", [True, False])
+def test_engine_that_restarts_empty_in_mid_transfer_loads_the_whole_set(
+    fleet, lists_staging
+):
+    for agent in fleet.agents:
+        agent.engine.lists_staging = lists_staging
+    fleet.start(link_bytes_per_second=SLOW_LINK)
+    push(fleet)
+    assert wait_for_progress(fleet, 60)
+    fleet.agents[0].engine.clear()
+    assert wait_until(lambda: fleet.all_ready("m-1"))
+    assert loaded_digests(fleet) == {digest_of(weights(1))}
+    assert fleet.violations() == 0
--- a/packages/agent/eelgrassdale_agent/tests/test_weights_bounds.py
+++ b/packages/agent/eelgrassdale_agent/tests/test_weights_bounds.py
@@ -90,6 +90,14 @@
     assert not store.add(0, chunk(0))
 
 
+def test_chunk_is_staged_by_one_lane_at_a_time():
+    store = new_store()
+    assert store.begin_write(0)
+    assert not store.begin_write(0)
+    store.end_write(0)
+    assert store.begin_write(0)
+
+
 def test_reads_beyond_the_bound_are_refused_as_busy():
     store = new_store(SystemClock(), memory_bytes=100)
     store.add(0, chunk(0))
--- a/packages/agent/eelgrassdale_agent/tests/weights_fleet.py
+++ b/packages/agent/eelgrassdale_agent/tests/weights_fleet.py
@@ -133,6 +133,7 @@
         self.incarnation = 1
         self.loaded: list[tuple[str, str, int]] = []
         self.checks_fencing = checks_fencing
+        self.lists_staging = True
         self.fail_loads = 0
         self.load_seconds = 0.05
         self.web = WebServer(self._answer)
@@ -158,6 +159,8 @@
         if method == "PUT":
             chunks[int(parts[2])] = body
             return 200, b""
+        if len(parts) == 2 and not self.lists_staging:
+            return 404, b""
         if len(parts) == 2:
             return 200, json.dumps({"chunks": list(chunks)}).encode()
         data = chunks.get(int(parts[2]))
--- a/packages/agent/eelgrassdale_agent/transfer.py
+++ b/packages/agent/eelgrassdale_agent/transfer.py
@@ -243,7 +243,7 @@
         if store is None:
             self._back_off()
             return
-        drop_unstaged(self._orders, store)
+        drop_unstaged(self._orders, store, self._engine.incarnation)
         log.info("weights wanted", version=target.model.name, chunks=held_text(store))
         code = self._transfer(target, store)
         if code is ResultCode.OK:
--- a/packages/agent/eelgrassdale_agent/transfer_lanes.py
+++ b/packages/agent/eelgrassdale_agent/transfer_lanes.py
@@ -11,7 +11,7 @@
 from eelgrassdale.telemetry import Metrics
 from eelgrassdale.weights.routes import SOURCE
 from eelgrassdale.weights.transfer import Fetch
-from eelgrassdale_agent.orders import OrderClient
+from eelgrassdale_agent.orders import STAGE_SECONDS, OrderClient
 from eelgrassdale_agent.sources import ChunkReader, ReadResult
 from eelgrassdale_agent.transfer_pacing import PacedLink
 from eelgrassdale_agent.transfer_store import ChunkStore
@@ -144,15 +144,24 @@
             log.warning("chunk corrupt", index=fetch.index, sender=fetch.holder)
             return ReadResult(code=ResultCode.CHUNK_CORRUPT)
         self._metrics.count(CHUNKS_VERIFIED)
-        if store.held >> fetch.index & 1:
-            return ReadResult(code=ResultCode.OK, holder_has=result.holder_has)
-        staged = self._orders.stage(store.manifest.digest, fetch.index, result.data)
-        if staged.is_error():
-            return ReadResult(
-                code=ResultCode.BACKEND_FAILED, detail=staged.error.message
-            )
-        store.add(fetch.index, result.data)
-        return ReadResult(code=ResultCode.OK, holder_has=result.holder_has)
+        code, detail = self._stage(store, fetch.index, result.data)
+        return ReadResult(code=code, holder_has=result.holder_has, detail=detail)
+
+    def _stage(
+        self, store: ChunkStore, index: int, data: bytes
+    ) -> tuple[ResultCode, str]:
+        """Write a verified chunk, unless another lane did or is doing so."""
+        if not store.begin_write(index):
+            held = store.wait_for(index, STAGE_SECONDS)
+            return (ResultCode.OK if held else ResultCode.BACKEND_FAILED), ""
+        try:
+            staged = self._orders.stage(store.manifest.digest, index, data)
+            if staged.is_error():
+                return ResultCode.BACKEND_FAILED, staged.error.message
+            store.add(index, data)
+            return ResultCode.OK, ""
+        finally:
+            store.end_write(index)
 
 
 class LanePool:
--- a/packages/agent/eelgrassdale_agent/transfer_opening.py
+++ b/packages/agent/eelgrassdale_agent/transfer_opening.py
@@ -100,10 +100,32 @@
                 store.add(index, data.ok)
 
 
-def drop_unstaged(orders: OrderClient, store: ChunkStore) -> None:
-    """Forget chunks that are no longer staged, as after an engine restart."""
+def drop_unstaged(orders: OrderClient, store: ChunkStore, incarnation: str) -> bool:
+    """Forget chunks that are no longer staged; return whether any was forgotten.
+
+    An engine that cannot list its staging counts as empty once its incarnation
+    differs from the one that the chunks were staged in.
+
+    Parameters
+    ----------
+    orders : OrderClient
+        The engine.
+    store : ChunkStore
+        Chunks that were staged.
+    incarnation : str
+        Present incarnation of the engine.
+    """
     staged = orders.staged_indices(store.manifest.digest).default_value(None)
     if staged is None:
-        return
-    for index in set(range(store.manifest.count)) - staged:
+        if store.engine_incarnation == incarnation:
+            return False
+        staged = set()
+    store.engine_incarnation = incarnation
+    lost = [
+        index
+        for index in range(store.manifest.count)
+        if store.held >> index & 1 and index not in staged
+    ]
+    for index in lost:
         store.drop(index)
+    return bool(lost)
--- a/packages/agent/eelgrassdale_agent/transfer_run.py
+++ b/packages/agent/eelgrassdale_agent/transfer_run.py
@@ -111,6 +111,7 @@
         while not is_stopping():
             if not self._follow_configuration():
                 return ResultCode.VERSION_CHANGED
+            self._follow_store()
             if is_complete(self._plan, self._state):
                 self._check_complete()
                 return ResultCode.OK
@@ -135,6 +136,11 @@
         self._follow_members()
         return True
 
+    def _follow_store(self) -> None:
+        """Fetch again what the engine's staging lost since it was fetched."""
+        if self._state.held != self._store.held:
+            self._state = evolve(self._state, held=self._store.held)
+
     def _follow_members(self) -> None:
         members = self._context.members.current()
         if members is not self._members:
--- a/packages/agent/eelgrassdale_agent/transfer_store.py
+++ b/packages/agent/eelgrassdale_agent/transfer_store.py
@@ -23,6 +23,11 @@
         Bound on the chunks in memory.
     read_back : callable
         Returns the bytes of a staged chunk, or None.
+
+    Attributes
+    ----------
+    engine_incarnation : str
+        Life of the engine whose staging has the chunks.
     """
 
     def __init__(
@@ -41,12 +46,27 @@
         self._cached: OrderedDict[int, tuple[float, bytes]] = OrderedDict()
         self._cached_bytes = 0
         self._held = 0
+        self._writing: set[int] = set()
+        self.engine_incarnation = ""
 
     @property
     def held(self) -> int:
         """Bit mask of the chunks that are verified and staged."""
         return self._held
 
+    def begin_write(self, index: int) -> bool:
+        """Reserve the staging of a chunk; False if it is staged or being staged."""
+        with self._cond:
+            if self._held >> index & 1 or index in self._writing:
+                return False
+            self._writing.add(index)
+            return True
+
+    def end_write(self, index: int) -> None:
+        """End a reservation, whether or not the chunk was added."""
+        with self._cond:
+            self._writing.discard(index)
+
     def add(self, index: int, data: bytes) -> bool:
         """Add a verified and staged chunk; False if it was there before."""
         with self._cond:
