--- a/packages/core/eelgrassdale/routing/fairqueue.py
+++ b/packages/core/eelgrassdale/routing/fairqueue.py
@@ -1,7 +1,7 @@
 """Bounded queue of one service, fair between client accounts."""
 
 from collections import OrderedDict, deque
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator
 from typing import Any
 
 from attrs import define, frozen
@@ -29,49 +29,6 @@
     over_share: bool
 
 
-@frozen(kw_only=True)
-class FullQueue:
-    """What a full queue refuses, as a value that other threads may ask.
-
-    Parameters
-    ----------
-    lowest_priority : int
-        Lowest priority among the requests that could be displaced.
-    largest_share : float
-        Largest number of waiting requests per weight among those.
-    fair_share : float
-        Waiting requests per weight that the queue has room for.
-    waiting : Mapping of str to int
-        Waiting requests of each account.
-    """
-
-    lowest_priority: int
-    largest_share: float
-    fair_share: float
-    waiting: Mapping[str, int]
-
-    def refuses(self, *, account: str, weight: int, priority: int) -> bool:
-        """Return whether `push` would refuse this newcomer itself.
-
-        Examples
-        --------
-        >>> full = FullQueue(
-        ...     lowest_priority=1, largest_share=3.0, fair_share=2.0, waiting={"a": 3}
-        ... )
-        >>> full.refuses(account="a", weight=1, priority=1)
-        True
-        >>> full.refuses(account="b", weight=1, priority=1)
-        False
-
-        """
-        share = self.share(account=account, weight=weight)
-        return (priority, -share) <= (self.lowest_priority, -self.largest_share)
-
-    def share(self, *, account: str, weight: int) -> float:
-        """Return the waiting requests per weight of an account with a newcomer."""
-        return (self.waiting.get(account, 0) + 1) / max(weight, 1)
-
-
 @define(kw_only=True)
 class _Account:
     weight: int
@@ -127,22 +84,6 @@
             self._add(queued, at_front=False)
         return Displaced(queued=victim, over_share=over_share)
 
-    def when_full(self) -> FullQueue | None:
-        """Return what the queue refuses now, or None while it has room."""
-        if len(self) < self.limit or not self._accounts:
-            return None
-        lowest, negative_share = min(
-            (account.waiting[-1].priority, -len(account.waiting) / account.weight)
-            for account in self._accounts.values()
-        )
-        weights = sum(account.weight for account in self._accounts.values())
-        return FullQueue(
-            lowest_priority=lowest,
-            largest_share=-negative_share,
-            fair_share=(self.limit + 1) / weights,
-            waiting={n: len(account.waiting) for n, account in self._accounts.items()},
-        )
-
     def push_front(self, queued: Queued) -> None:
         """Return a request that left the queue and could not be served.
 
--- a/packages/core/eelgrassdale/routing/tests/test_fairqueue.py
+++ b/packages/core/eelgrassdale/routing/tests/test_fairqueue.py
@@ -87,23 +87,3 @@
     first = queue.pop()
     queue.push_front(first)
     assert [queue.pop().request_id for _ in range(4)] == ["a0", "b0", "a1", "b1"]
-
-
-@settings(derandomize=True, max_examples=300)
-@given(
-    arrivals=st.lists(
-        st.tuples(st.sampled_from("abc"), st.integers(1, 3)), min_size=6, max_size=20
-    ),
-    account=st.sampled_from("abcd"),
-    priority=st.integers(1, 3),
-)
-def test_refusal_at_once_agrees_with_the_queue(arrivals, account, priority):
-    """Server threads refuse for the dispatcher, which must decide alike."""
-    queue = FairQueue(limit=6)
-    for number, (name, rank) in enumerate(arrivals):
-        queue.push(queued(number, name, WEIGHTS[name], rank))
-    full = queue.when_full()
-    weight = WEIGHTS.get(account, 1)
-    refused = full.refuses(account=account, weight=weight, priority=priority)
-    displaced = queue.push(queued("new", account, weight, priority))
-    assert refused == (displaced.queued.request_id == "new")
--- a/packages/entry/eelgrassdale_entry/dispatcher.py
+++ b/packages/entry/eelgrassdale_entry/dispatcher.py
@@ -45,7 +45,6 @@
     NewRequest,
     TopologyChanged,
 )
-from eelgrassdale_entry.refusals import FullQueues
 
 TICK_SECONDS = 0.05
 # Time that an agent gets to end a request whose deadline passed.
@@ -93,7 +92,6 @@
         self._flights: dict[str, Flight] = {}
         self._keys = KeyWatch(monitor=context.monitor)
         self._offers: dict[str, list[tuple[str, int]]] = {}
-        self.full_queues = FullQueues()
         self._next_offers_at = float("-inf")
         self._stopping = False
         self._thread = threading.Thread(
@@ -138,9 +136,6 @@
         while not self._stopping:
             self._guarded(self._take_messages)
             self._guarded(self._send_queued)
-            self.full_queues.publish(
-                {name: s.queue.when_full() for name, s in self._services.items()}
-            )
             if self._now() >= next_tick:
                 self._guarded(self._tick)
                 next_tick = self._now() + TICK_SECONDS
--- a/packages/entry/eelgrassdale_entry/intake.py
+++ b/packages/entry/eelgrassdale_entry/intake.py
@@ -38,7 +38,6 @@
         writer: Writer,
         post: Callable[[object], None],
         may_serve: Callable[[], bool],
-        refuses: Callable[..., ResultCode | None],
     ) -> None:
         self._clock = clock
         self._replica = replica
@@ -48,7 +47,6 @@
         self._writer = writer
         self._post = post
         self._may_serve = may_serve
-        self._refuses = refuses
         self._is_leaving = False
 
     def refuse_new(self) -> None:
@@ -123,18 +121,6 @@
         if target.is_error():
             return Error(target.error)
         found, account = target.ok
-        priority = checks.queue_priority(account, headers)
-        if headers.key is None:
-            # The same decision as the dispatcher's, without its work and
-            # without closing the caller's connection.
-            code = self._refuses(
-                http.service,
-                account=account.name,
-                weight=account.weight,
-                priority=priority,
-            )
-            if code is not None:
-                return Error(ResultError(code=code))
         now = self._clock.monotonic()
         deadline_ms = headers.deadline_ms or found.deadline_ms
         request = CallerRequest(
@@ -143,7 +129,7 @@
             kind=http.kind,
             account=account.name,
             weight=account.weight,
-            priority=priority,
+            priority=checks.queue_priority(account, headers),
             method=http.method,
             path=http.path,
             headers=checks.passed_headers(http.headers),
--- a/packages/entry/eelgrassdale_entry/program.py
+++ b/packages/entry/eelgrassdale_entry/program.py
@@ -85,7 +85,6 @@
             writer=self.writer,
             post=self.dispatcher.post,
             may_serve=self.runtime.may_serve,
-            refuses=self.dispatcher.full_queues.refusal,
         )
         self.node_server = NodeServer(
             service=NodeService,
