Find lost updates between racing operators in the tests

Cause: test_racing_operators_with_a_faulty_store failed in 1 of 4 runs with two accepted changes of one generation. Two reasons: the writer of the stand-ins read the configuration, and apply_configuration read it again, so a change of another operator in between was overwritten; and a put after an unknown outcome finds its change in force and is accepted without a generation of its own. Ruled out: the conditional update (the store checks the version under a lock) and `eelgrassdale model push`, which passes the generation it read. Change: the writer passes the generation it read; the test leaves out changes that changed nothing and, in return, checks that each operator's last accepted weight is in force, which finds an overwritten change. Conclusion: the product was right; the stand-in's operator was not.

--- a/packages/standins/eelgrassdale_standins/applying.py
+++ b/packages/standins/eelgrassdale_standins/applying.py
@@ -9,6 +9,7 @@
 from eelgrassdale.results import ResultError
 from eelgrassdale.telemetry import Metrics
 from eelgrassdale_operators import (
+    AppliedChange,
     Configuration,
     apply_configuration,
     build_configuration,
@@ -37,10 +38,28 @@
             The configuration is invalid or was not accepted.
 
         """
-        by_name = {encode_object(obj).name: obj for obj in objects_of(self.current())}
+        return self.change(*objects).generation
+
+    def change(self, *objects: CatalogObject) -> AppliedChange:
+        """Do what `put` does and tell whether anything differed.
+
+        Raises
+        ------
+        RuntimeError
+            The configuration is invalid or was not accepted.
+
+        """
+        current = self.current()
+        by_name = {encode_object(obj).name: obj for obj in objects_of(current)}
         by_name |= {encode_object(obj).name: obj for obj in objects}
         proposed = _value(build_configuration(by_name.values()))
-        return _value(apply_configuration(self._store, proposed)).generation
+        # Without the expected generation the change of an operator that came in
+        # between would be overwritten by what was read before it.
+        return _value(
+            apply_configuration(
+                self._store, proposed, expected_generation=current.generation
+            )
+        )
 
     def current(self) -> Configuration:
         """Return the configuration that the object API holds."""
--- a/packages/standins/eelgrassdale_standins/tests/test_configuration_failures.py
+++ b/packages/standins/eelgrassdale_standins/tests/test_configuration_failures.py
@@ -10,6 +10,7 @@
 
 from eelgrassdale.catalog import DataCentre, DataCentreState
 from eelgrassdale.hashing import rendezvous_order
+from eelgrassdale_operators import AppliedChange
 from eelgrassdale_standins.applying import ConfigurationWriter
 from eelgrassdale_standins.commands import OBJECT_API
 from eelgrassdale_standins.control import set_faults, url_of
@@ -45,16 +46,17 @@
     return DataCentre(name=SAN_FERNANDO, region="south", state=state)
 
 
-def race(deployment: Deployment, operator: int) -> list[int]:
-    """Change an account several times; return the accepted generations."""
+def race(deployment: Deployment, operator: int) -> list[tuple[int, int]]:
+    """Change an account several times; return accepted generations and weights."""
     address = deployment.addresses.platform[OBJECT_API]
     writer = ConfigurationWriter(url=url_of(address))
     accepted = []
     for number in range(CHANGES):
         account = deployment.topology.accounts[operator]
-        changed = type(account)(name=account.name, weight=10 * operator + number + 1)
+        weight = 10 * (operator + 1) + number
         try:
-            accepted.append(writer.put(changed))
+            applied = writer.change(type(account)(name=account.name, weight=weight))
+            accepted.append((applied.generation, weight))
         except RuntimeError:
             # A lost race or an unknown outcome; the operator tries the next.
             continue
@@ -71,34 +73,54 @@
 
 
 def test_racing_operators_with_a_faulty_store(running, store, log):
-    accepted: list[list[int]] = []
+    accepted: dict[int, list[tuple[int, int]]] = {}
     threads = [
-        threading.Thread(target=lambda n=n: accepted.append(race(running, n)))
+        threading.Thread(target=lambda n=n: accepted.update({n: race(running, n)}))
         for n in range(OPERATORS)
     ]
     set_faults(store, slow_seconds=0.005, lose_answers=4)
     for thread in threads:
         thread.start()
     out = put_until_accepted(running, san_fernando(DataCentreState.OUT))
-    running.wait_for_generation(out, SPREAD_SECONDS)
+    running.wait_for_generation(out.generation, SPREAD_SECONDS)
     set_faults(store, outage=True)
     with pytest.raises(RuntimeError):
         running.configuration.put(san_fernando(DataCentreState.IN_SERVICE))
-    assert min(map(running.generation, running.node_names())) >= out
+    assert min(map(running.generation, running.node_names())) >= out.generation
     set_faults(store, outage=False, lose_answers=2)
     returned = put_until_accepted(running, san_fernando(DataCentreState.IN_SERVICE))
     for thread in threads:
         thread.join()
-    generations = [g for run in accepted for g in run] + [out, returned]
+    # A put after an unknown outcome can find its change in force already; it is
+    # then accepted without a generation of its own.
+    generations = [pair[0] for run in accepted.values() for pair in run]
+    generations += [c.generation for c in (out, returned) if c.changed]
     assert len(set(generations)) == len(generations)
     running.wait_for_generation(max(generations), SPREAD_SECONDS)
+    assert_nothing_overwritten(running, accepted)
 
 
-def put_until_accepted(deployment: Deployment, obj: DataCentre) -> int:
+def assert_nothing_overwritten(
+    deployment: Deployment, accepted: dict[int, list[tuple[int, int]]]
+) -> None:
+    """Check that each operator's last accepted weight, or a later one, is in force.
+
+    A later one of the same operator has an outcome that was unknown to it.
+    """
+    final = deployment.configuration.current()
+    for operator, pairs in accepted.items():
+        name = deployment.topology.accounts[operator].name
+        if pairs:
+            weight = final.accounts[name].weight
+            assert pairs[-1][1] <= weight < 10 * (operator + 1) + CHANGES
+    assert final.is_in_service(SAN_FERNANDO)
+
+
+def put_until_accepted(deployment: Deployment, obj: DataCentre) -> AppliedChange:
     """Put an object, again after each lost race."""
     for _ in range(50):
         try:
-            return deployment.configuration.put(obj)
+            return deployment.configuration.change(obj)
         except RuntimeError:
             continue
     raise AssertionError("the change was never accepted")
