Name the address in use, and end when the admin address is taken

A node address in use was reported without the address. An entry node whose admin address was in use printed the error and then stayed: the worker threads of the callers' server, started before, kept the process alive. The callers' server is stopped before the error is passed on, and the Thrift server's error names its address (wire/server.py, entry/program.py; the agent no longer adds the address itself).

--- a/packages/agent/eelgrassdale_agent/program.py
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -245,7 +245,7 @@
         agent.start()
     except OSError as exc:
         code = ResultCode.ADDRESS_UNAVAILABLE
-        click.echo(f"{int(code)} {code.name} {cfg.node_address}: {exc}", err=True)
+        click.echo(f"{int(code)} {code.name} {exc}", err=True)
         sys.exit(EXIT_ADDRESS)
     stopping.wait()
     agent.stop()
--- a/packages/core/eelgrassdale/wire/server.py
+++ b/packages/core/eelgrassdale/wire/server.py
@@ -62,13 +62,18 @@
         Raises
         ------
         OSError
-            The address cannot be bound.
+            The address cannot be bound; the message names it.
 
         """
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self._address.host, self._address.port))
-        listener.listen(LISTEN_BACKLOG)
+        try:
+            listener.bind((self._address.host, self._address.port))
+            listener.listen(LISTEN_BACKLOG)
+        except OSError as exc:
+            listener.close()
+            text = f"{self._address.host}:{self._address.port}"
+            raise OSError(exc.errno, exc.strerror, text) from exc
         listener.settimeout(ACCEPT_TIMEOUT_SECONDS)
         self._listener = listener
         self._thread = threading.Thread(
--- a/packages/entry/eelgrassdale_entry/program.py
+++ b/packages/entry/eelgrassdale_entry/program.py
@@ -107,7 +107,7 @@
         self.node_server.start()
         self.caller_server.start_serving()
         if self.admin_server is not None:
-            self.admin_server.start_serving()
+            self._start_admin_server()
         self.writer.start()
         self.dispatcher.start()
         self.runtime.start()
@@ -117,6 +117,14 @@
         self._context.members.subscribe(self._topology_changed)
         self._topology_changed()
 
+    def _start_admin_server(self) -> None:
+        try:
+            self.admin_server.start_serving()
+        except OSError:
+            # The threads of the callers' server would keep the process alive.
+            self.caller_server.stop()
+            raise
+
     def stop(self) -> None:
         """Stop at once; `drain` comes before it in a graceful stop."""
         if self.admin_server is not None:
