Wait for keys of both agents in the test of a stopped one

Cause: test_key_of_an_unknown_or_stopped_agent_is_unreachable failed once with KeyError: a node that had heard of one agent only issued all four keys for it. Change: the test asks for keys until both agents are named. Conclusion: the check itself is unchanged.

--- a/packages/entry/eelgrassdale_entry/tests/test_keys.py
+++ b/packages/entry/eelgrassdale_entry/tests/test_keys.py
@@ -4,7 +4,7 @@
 
 from eelgrassdale.results import ResultCode
 from eelgrassdale.routing.entries import IssuedKey, format_key, parse_key
-from eelgrassdale_entry.tests.harness import FakeAgent, Script, entry_node
+from eelgrassdale_entry.tests.harness import FakeAgent, Script, entry_node, wait_until
 
 
 def keyed(node, key, service="desk", **headers):
@@ -77,7 +77,14 @@
         FakeAgent(name=name, data_centre="n1", service="desk") for name in ("d1", "d2")
     ]
     with entry_node(agents) as node:
-        issued = {parse_key(text).ok.agent: text for text in node.keys("desk", 4)}
+        issued: dict[str, str] = {}
+
+        def names_both() -> bool:
+            keys = node.keys("desk", 4)
+            issued.update({parse_key(text).ok.agent: text for text in keys})
+            return len(issued) == len(agents)
+
+        wait_until(names_both)
         agents[0].stop()
         stopped = keyed(node, issued["d1"])[1]
         other = IssuedKey(
