Refuse a deployment's change when another was accepted in between

ConfigurationWriter.put read the configuration, then applied its proposal to whatever was in force, so a racing change could be undone silently. It now names the generation that its proposal is based on.

--- a/packages/standins/eelgrassdale_standins/applying.py
+++ b/packages/standins/eelgrassdale_standins/applying.py
@@ -37,10 +37,14 @@
             The configuration is invalid or was not accepted.
 
         """
-        by_name = {encode_object(obj).name: obj for obj in objects_of(self.current())}
+        current = self.current()
+        by_name = {encode_object(obj).name: obj for obj in objects_of(current)}
         by_name |= {encode_object(obj).name: obj for obj in objects}
         proposed = _value(build_configuration(by_name.values()))
-        return _value(apply_configuration(self._store, proposed)).generation
+        applied = apply_configuration(
+            self._store, proposed, expected_generation=current.generation
+        )
+        return _value(applied).generation
 
     def current(self) -> Configuration:
         """Return the configuration that the object API holds."""
