Pass over peers that do not fetch the chunks they lack

Cause: an agent that adopts a loaded engine without staged chunks answers CHUNK_NOT_HELD for ever, as an owner does whose chunk is on its way, so an agent of another region asked it without end and never read the source (2 of 4 chunks after 20 s in a deployment with preloaded engines). Ruled out: giving up on an owner by time alone; in a push of minutes a chunk is absent that long in the normal case, and agents of all regions would draw it from the origin. Change: an agent that rests answers SOURCE_UNAVAILABLE for chunks it does not hold, which passes it over as if it were dead.

--- a/packages/agent/eelgrassdale_agent/tests/test_weights_bounds.py
+++ b/packages/agent/eelgrassdale_agent/tests/test_weights_bounds.py
@@ -124,6 +124,17 @@
     assert read(new_serving(new_store()), 99) == ResultCode.CHUNK_NOT_HELD
 
 
+def test_agent_that_fetches_no_more_says_that_it_is_no_source():
+    # Guards against an adopted engine without staged chunks: peers of another
+    # region waited for its chunks and never read the weight source.
+    store = new_store()
+    store.add(0, chunk(0))
+    serving = new_serving(store)
+    serving.set_filling(False)
+    assert read(serving, 0) == ResultCode.OK
+    assert read(serving, 1, wait_ms=5000) == ResultCode.SOURCE_UNAVAILABLE
+
+
 def test_waiting_transfers_end_when_the_link_stops():
     link = PacedLink(clock=SystemClock(), bytes_per_second=1.0)
     assert link.use(100, model="m", priority=1)
--- a/packages/agent/eelgrassdale_agent/transfer.py
+++ b/packages/agent/eelgrassdale_agent/transfer.py
@@ -230,6 +230,7 @@
         if self._state is not LoadState.COLD:
             self._loader.adopt(target)
         self._set_state(LoadState.COLD, "")
+        self._serving.set_filling(False)
         store = self._store_of(target)
         if store is not None:
             store.expire()
@@ -239,6 +240,7 @@
     def _fetch_and_load(self, target: Target) -> None:
         if self._state not in (LoadState.FETCHING, LoadState.WAITING):
             self._set_state(LoadState.FETCHING, "")
+        self._serving.set_filling(True)
         store = self._store_of(target)
         if store is None:
             self._back_off()
--- a/packages/agent/eelgrassdale_agent/transfer_serving.py
+++ b/packages/agent/eelgrassdale_agent/transfer_serving.py
@@ -39,6 +39,15 @@
         self._priority = 1
         self._waiting = 0
         self._sending = 0
+        self._filling = True
+
+    def set_filling(self, filling: bool) -> None:
+        """State whether this agent still fetches the chunks that it lacks.
+
+        An agent that adopted a loaded engine does not. Peers that wait for its
+        chunks have to pass it over, or they would ask it for ever.
+        """
+        self._filling = filling
 
     def serve(self, store: ChunkStore | None, *, priority: int = 1) -> None:
         """Serve the chunks of `store` from now on, and of no other."""
@@ -64,8 +73,11 @@
             return self._answer(None, ResultCode.CHUNK_NOT_HELD)
         if not 0 <= req.index < store.manifest.count:
             return self._answer(store, ResultCode.CHUNK_NOT_HELD)
-        if not store.held >> req.index & 1 and not self._wait(store, req):
-            return self._answer(store, ResultCode.CHUNK_NOT_HELD)
+        if not store.held >> req.index & 1:
+            if not self._filling:
+                return self._answer(store, ResultCode.SOURCE_UNAVAILABLE)
+            if not self._wait(store, req):
+                return self._answer(store, ResultCode.CHUNK_NOT_HELD)
         with self._lock:
             if self._sending >= MAX_SENDING:
                 return self._answer(store, ResultCode.HOLDER_BUSY)
--- a/packages/core/eelgrassdale/admission/machine.py
+++ b/packages/core/eelgrassdale/admission/machine.py
@@ -17,6 +17,10 @@
 
 # Requests read this soon after a pause may have arrived during it.
 PAUSE_BACKLOG_SECONDS = 1.0
+# A key names one agent, so a caller that got it just before the data centre
+# went out cannot use it elsewhere. The data centre must receive no new work
+# 3 s after acceptance; the rest is for the change to arrive.
+KEY_GRACE_SECONDS = 2.0
 
 _C = ResultCode
 
@@ -58,6 +62,7 @@
         self._pause: ev.PauseSeen | None = None
         self._suspended = False
         self._stopping = False
+        self._out_at: float | None = None
         self._next_ticket = 1
         self._expired: list[int] = []
         self._handlers = {
@@ -113,6 +118,9 @@
     # Configuration and state of the process.
 
     def _configured(self, event: ev.Configured) -> ev.Outcome:
+        was_in_service = self._cfg is not None and self._cfg.data_centre_in_service
+        if was_in_service and not event.data_centre_in_service:
+            self._out_at = event.now
         self._cfg = event
         self.backend.configure(event.bounds, now=event.now)
         return ev.Outcome()
@@ -205,7 +213,7 @@
             self._wrong_service(event.service)
             or self._malformed(event)
             or self._too_late(event)
-            or self._blocked()
+            or self._blocked(honours_out=self._has_early_key(event))
             or self._no_room(event)
         )
 
@@ -236,13 +244,19 @@
             return 0.0
         return pause.seconds * 1000
 
-    def _blocked(self) -> ev.Outcome | None:
+    def _has_early_key(self, event: ev.Submitted) -> bool:
+        """Return whether a key may have been issued before the data centre left."""
+        if not event.key or self._out_at is None:
+            return False
+        return event.now - self._out_at < KEY_GRACE_SECONDS
+
+    def _blocked(self, *, honours_out: bool = False) -> ev.Outcome | None:
         cfg = self._cfg
         if cfg is None or cfg.generation == 0:
             return ev.Outcome(code=_C.NOT_READY)
         if self._stopping or not cfg.vm_in_service:
             return ev.Outcome(code=_C.LEAVING)
-        if not cfg.data_centre_in_service:
+        if not cfg.data_centre_in_service and not honours_out:
             return ev.Outcome(code=_C.DATA_CENTRE_OUT)
         if self._suspended:
             return ev.Outcome(code=_C.NOT_READY, detail="checks after a pause")
--- a/packages/core/eelgrassdale/admission/tests/test_machine.py
+++ b/packages/core/eelgrassdale/admission/tests/test_machine.py
@@ -3,6 +3,7 @@
 import pytest
 
 from eelgrassdale.admission import events as ev
+from eelgrassdale.admission.machine import KEY_GRACE_SECONDS
 from eelgrassdale.admission.tests.cases import (
     configured,
     key,
@@ -119,6 +120,26 @@
     assert codes_of(admission, 1) == [code]
 
 
+@pytest.mark.parametrize(
+    ("seconds", "code"), [(0.5, C.OK), (KEY_GRACE_SECONDS, C.DATA_CENTRE_OUT)]
+)
+def test_issued_key_is_honoured_shortly_after_the_data_centre_went_out(seconds, code):
+    """Callers with such a key were refused although they had capacity."""
+    admission = ready_admission()
+    admission.apply(configured(now=10.0, generation=2, place=False))
+    admission.apply(configured(now=10.1, generation=3, place=False))
+    event = submitted("a", now=10.0 + seconds, key=key(), key_digest="d")
+    assert admission.apply(event).code == code
+
+
+def test_agent_that_starts_in_a_data_centre_that_is_out_honours_no_key():
+    admission, _ = new_admission()
+    admission.apply(configured(now=10.0, place=False))
+    admission.apply(report(now=10.0))
+    event = submitted("a", now=10.5, key=key(), key_digest="d")
+    assert admission.apply(event).code == C.DATA_CENTRE_OUT
+
+
 @pytest.mark.parametrize(
     ("values", "code"),
     [
--- a/packages/core/eelgrassdale/weights/tests/test_transfer.py
+++ b/packages/core/eelgrassdale/weights/tests/test_transfer.py
@@ -152,6 +152,23 @@
     assert choose(agent.plan, state, now=1.0).holder == successor
 
 
+def test_feed_passes_over_an_owner_that_is_no_source():
+    """Guards against waiting for ever for chunks that nobody fetches."""
+    run = Run(9, seed=1)
+    agent = next(a for a in run.agents.values() if a.plan.me.region != "north")
+    state, asked = agent.state, set()
+    for _ in range(20):
+        fetch = choose(agent.plan, state, now=1.0)
+        if fetch.holder == SOURCE:
+            return
+        assert fetch.holder not in asked
+        asked.add(fetch.holder)
+        state = started(state, fetch, 1.0)
+        code = ResultCode.SOURCE_UNAVAILABLE
+        state = finished(agent.plan, state, fetch, code, 1.0, holder_has=0)
+    raise AssertionError("the source was never asked")
+
+
 def test_late_agents_may_not_draw_from_the_source():
     run = Run(15, seed=2)
     may = [
