Share options and error output between the subcommands

Cause: config and model had the same options, exit codes and error output, and the administration API had the conflict error of the operators' library once more.

--- a/packages/entry/eelgrassdale_entry/changes.py
+++ b/packages/entry/eelgrassdale_entry/changes.py
@@ -24,6 +24,7 @@
 from eelgrassdale.spread.head import Store, fetch_delta, full_delta, read_head
 from eelgrassdale.spread.replica import apply_delta
 from eelgrassdale.wire import ConfigDelta
+from eelgrassdale_operators import conflict_error
 
 # Names of objects (`kind/name`) and their new values, None to remove one.
 Edits = Mapping[str, CatalogObject | None]
@@ -80,7 +81,7 @@
         return Error(edits.error)
     proposed = edited(current, edits.ok)
     if expected_generation not in (None, current.generation):
-        return Error(conflict(expected_generation, current, proposed))
+        return Error(conflict_error(expected_generation, current, proposed))
     problems = check(proposed)
     if problems:
         return Error(_invalid(*problems))
@@ -104,26 +105,6 @@
     return configuration_from(configuration.generation, kept)
 
 
-def conflict(
-    expected: int, current: Configuration, proposed: Configuration
-) -> ResultError:
-    """Return the error of a change that another operator overtook."""
-    return ResultError(
-        code=ResultCode.CONFIGURATION_CONFLICT,
-        message=(
-            f"the change is based on generation {expected}, "
-            f"generation {current.generation} is in force"
-        ),
-        problems=(
-            Problem(
-                field="configuration",
-                value=diff_configurations(current, proposed),
-                allowed="a change of the generation in force",
-            ),
-        ),
-    )
-
-
 def _commit(
     store: Store, state: ReplicaState, base: _Stored, proposed: Configuration
 ) -> Result[Accepted, ResultError]:
@@ -142,7 +123,9 @@
     if committed.error.code is not ResultCode.CONFIGURATION_CONFLICT:
         return Error(committed.error)
     return _read_stored(store, state).bind(
-        lambda found: Error(conflict(current.generation, found.configuration, proposed))
+        lambda found: Error(
+            conflict_error(current.generation, found.configuration, proposed)
+        )
     )
 
 
--- /dev/null
+++ b/packages/entry/eelgrassdale_entry/commands/common.py
@@ -0,0 +1,49 @@
+"""Options, exit codes and error output that several subcommands share."""
+
+import sys
+from typing import NoReturn
+
+import click
+from expression import Result
+
+from eelgrassdale.platform.objects import ObjectStore
+from eelgrassdale.results import ResultCode, ResultError
+from eelgrassdale.telemetry import Metrics
+
+EXIT_FAILED = 1
+EXIT_INVALID = 2
+# The change was accepted and is not in force everywhere, or a push is not done.
+EXIT_INCOMPLETE = 3
+
+store_option = click.option(
+    "--object-api-url",
+    envvar="EELGRASSDALE_OBJECT_API_URL",
+    required=True,
+    help="Base URL of the object API.",
+)
+vm_list_option = click.option(
+    "--vm-list-url",
+    envvar="EELGRASSDALE_VM_LIST_URL",
+    required=True,
+    help="Base URL of the VM list.",
+)
+
+
+def open_store(url: str) -> ObjectStore:
+    """Return a client of the object API for one command."""
+    return ObjectStore(url=url, metrics=Metrics())
+
+
+def or_exit(result: Result):
+    """Return the value of a result, or write its error and exit."""
+    return result.ok if result.is_ok() else _fail(result.error)
+
+
+def _fail(error: ResultError) -> NoReturn:
+    message = error.as_json()["message"]
+    click.echo(f"error {int(error.code)} {error.code.name}: {message}", err=True)
+    for problem in error.problems:
+        click.echo(f"  {problem.field}: got {problem.value}", err=True)
+        click.echo(f"    allowed: {problem.allowed}", err=True)
+    invalid = error.code is ResultCode.CONFIGURATION_INVALID
+    sys.exit(EXIT_INVALID if invalid else EXIT_FAILED)
--- a/packages/entry/eelgrassdale_entry/commands/config.py
+++ b/packages/entry/eelgrassdale_entry/commands/config.py
@@ -3,16 +3,19 @@
 import json
 import sys
 from pathlib import Path
-from typing import NoReturn
 
 import click
 
-from eelgrassdale.catalog import Configuration, objects_of
+from eelgrassdale.catalog import objects_of
 from eelgrassdale.clock import SystemClock
-from eelgrassdale.platform.objects import ObjectStore
 from eelgrassdale.platform.vmlist import VmListClient
-from eelgrassdale.results import ResultCode, ResultError
-from eelgrassdale.telemetry import Metrics
+from eelgrassdale_entry.commands.common import (
+    EXIT_INCOMPLETE,
+    open_store,
+    or_exit,
+    store_option,
+    vm_list_option,
+)
 from eelgrassdale_operators import (
     AppliedChange,
     InForceReport,
@@ -26,26 +29,11 @@
     wait_in_force,
 )
 
-EXIT_INVALID = 2
-EXIT_FAILED = 1
-EXIT_NOT_IN_FORCE = 3
 WAIT_SECONDS = 30.0
 
 path_argument = click.argument(
     "path", type=click.Path(exists=True, dir_okay=False, path_type=Path)
 )
-store_option = click.option(
-    "--object-api-url",
-    envvar="EELGRASSDALE_OBJECT_API_URL",
-    required=True,
-    help="Base URL of the object API.",
-)
-vm_list_option = click.option(
-    "--vm-list-url",
-    envvar="EELGRASSDALE_VM_LIST_URL",
-    required=True,
-    help="Base URL of the VM list.",
-)
 
 
 @click.group()
@@ -57,7 +45,7 @@
 @path_argument
 def check(path: Path) -> None:
     """Check a configuration file and name all of its problems."""
-    configuration = load_or_exit(path)
+    configuration = or_exit(load_configuration(path))
     click.echo(f"{path.name}: valid, {len(objects_of(configuration))} objects")
 
 
@@ -65,7 +53,7 @@
 @path_argument
 def print_(path: Path) -> None:
     """Print the configuration that a file defines."""
-    click.echo(print_configuration(load_or_exit(path)))
+    click.echo(print_configuration(or_exit(load_configuration(path))))
 
 
 @config.command()
@@ -73,12 +61,10 @@
 @store_option
 def diff(path: Path, object_api_url: str) -> None:
     """Print what `apply` would change."""
-    proposed = load_or_exit(path)
-    stored = read_stored(open_store(object_api_url))
-    if stored.is_error():
-        fail(stored.error)
-    text = diff_configurations(stored.ok.configuration, proposed)
-    click.echo(text or f"no change to generation {stored.ok.configuration.generation}")
+    proposed = or_exit(load_configuration(path))
+    current = or_exit(read_stored(open_store(object_api_url))).configuration
+    text = diff_configurations(current, proposed)
+    click.echo(text or f"no change to generation {current.generation}")
 
 
 @config.command()
@@ -107,17 +93,17 @@
     timeout_seconds: float,
 ) -> None:
     """Apply a configuration and wait until it is in force everywhere."""
-    proposed = load_or_exit(path)
-    applied = apply_configuration(
-        open_store(object_api_url), proposed, expected_generation=expect_generation
+    proposed = or_exit(load_configuration(path))
+    applied = or_exit(
+        apply_configuration(
+            open_store(object_api_url), proposed, expected_generation=expect_generation
+        )
     )
-    if applied.is_error():
-        fail(applied.error)
-    _echo_applied(applied.ok)
+    _echo_applied(applied)
     if not no_wait:
         addresses = read_addresses(vm_list_url)
         report = wait_in_force(
-            applied.ok.generation,
+            applied.generation,
             addresses,
             clock=SystemClock(),
             timeout_seconds=timeout_seconds,
@@ -130,44 +116,16 @@
 @vm_list_option
 def status(object_api_url: str, vm_list_url: str) -> None:
     """Report where the accepted generation is in force."""
-    stored = read_stored(open_store(object_api_url))
-    if stored.is_error():
-        fail(stored.error)
-    generation = stored.ok.configuration.generation
+    stored = or_exit(read_stored(open_store(object_api_url)))
+    generation = stored.configuration.generation
     statuses = read_statuses(read_addresses(vm_list_url))
     echo_report(in_force_report(generation, statuses))
 
 
-def load_or_exit(path: Path) -> Configuration:
-    """Return the configuration of a file, or exit with status 2."""
-    loaded = load_configuration(path)
-    if loaded.is_error():
-        fail(loaded.error)
-    return loaded.ok
-
-
-def open_store(url: str) -> ObjectStore:
-    """Return a client of the object API for one command."""
-    return ObjectStore(url=url, metrics=Metrics())
-
-
 def read_addresses(vm_list_url: str) -> dict[str, str]:
     """Return the node address of each VM in the VM list, or exit."""
-    read = VmListClient(url=vm_list_url).read()
-    if read.is_error():
-        fail(read.error)
-    return {name: entry.node_address for name, entry in read.ok.entries.items()}
-
-
-def fail(error: ResultError) -> NoReturn:
-    """Write a result code and its problems to standard error and exit."""
-    message = error.as_json()["message"]
-    click.echo(f"error {int(error.code)} {error.code.name}: {message}", err=True)
-    for problem in error.problems:
-        click.echo(f"  {problem.field}: got {problem.value}", err=True)
-        click.echo(f"    allowed: {problem.allowed}", err=True)
-    invalid = error.code is ResultCode.CONFIGURATION_INVALID
-    sys.exit(EXIT_INVALID if invalid else EXIT_FAILED)
+    entries = or_exit(VmListClient(url=vm_list_url).read()).entries
+    return {name: entry.node_address for name, entry in entries.items()}
 
 
 def echo_report(report: InForceReport) -> None:
@@ -183,7 +141,7 @@
         )
     )
     if not report.is_complete:
-        sys.exit(EXIT_NOT_IN_FORCE)
+        sys.exit(EXIT_INCOMPLETE)
 
 
 def _echo_applied(applied: AppliedChange) -> None:
--- a/packages/entry/eelgrassdale_entry/commands/model.py
+++ b/packages/entry/eelgrassdale_entry/commands/model.py
@@ -3,7 +3,6 @@
 import json
 import sys
 from collections.abc import Callable, Mapping
-from typing import NoReturn
 
 import click
 from attrs import evolve
@@ -13,34 +12,23 @@
 
 from eelgrassdale.catalog import Configuration, ModelVersion, ServiceKind, check
 from eelgrassdale.clock import SystemClock
-from eelgrassdale.platform.objects import ObjectStore
 from eelgrassdale.platform.vmlist import VmListClient
 from eelgrassdale.platform.weightsource import WeightSourceClient
 from eelgrassdale.results import Problem, ResultCode, ResultError
-from eelgrassdale.telemetry import Metrics
 from eelgrassdale.weights import Manifest, parse_manifest
+from eelgrassdale_entry.commands.common import (
+    EXIT_INCOMPLETE,
+    open_store,
+    or_exit,
+    store_option,
+    vm_list_option,
+)
 from eelgrassdale_entry.commands.model_progress import PushProgress, progress_of
 from eelgrassdale_operators import apply_configuration, read_statuses, read_stored
 
-EXIT_INVALID = 2
-EXIT_FAILED = 1
-EXIT_INCOMPLETE = 3
 POLL_SECONDS = 1.0
 WAIT_SECONDS = 1800.0
 
-store_option = click.option(
-    "--object-api-url",
-    envvar="EELGRASSDALE_OBJECT_API_URL",
-    required=True,
-    help="Base URL of the object API.",
-)
-vm_list_option = click.option(
-    "--vm-list-url",
-    envvar="EELGRASSDALE_VM_LIST_URL",
-    required=True,
-    help="Base URL of the VM list.",
-)
-
 
 @click.group()
 def model() -> None:
@@ -93,7 +81,7 @@
 ) -> None:
     """Point SERVICE at model version NAME and show how the replicas take it."""
     manifest = or_exit(read_manifest(name, weight_sources))
-    store = ObjectStore(url=object_api_url, metrics=Metrics())
+    store = open_store(object_api_url)
     stored = or_exit(read_stored(store)).configuration
     if expect_generation is None:
         expect_generation = stored.generation
@@ -117,7 +105,7 @@
 @vm_list_option
 def status(service: str | None, object_api_url: str, vm_list_url: str) -> None:
     """Report on which replicas the configured model versions are."""
-    store = ObjectStore(url=object_api_url, metrics=Metrics())
+    store = open_store(object_api_url)
     stored = or_exit(read_stored(store)).configuration
     complete = True
     for name, version in sorted(model_services(stored, service).items()):
@@ -253,20 +241,6 @@
     return f"{text}, slowest: {slowest}" if slowest else text
 
 
-def or_exit(result: Result):
-    """Return the value of a result, or write its error and exit."""
-    return result.ok if result.is_ok() else _fail(result.error)
-
-
-def _fail(error: ResultError) -> NoReturn:
-    message = error.as_json()["message"]
-    click.echo(f"error {int(error.code)} {error.code.name}: {message}", err=True)
-    for problem in error.problems:
-        click.echo(f"  {problem}", err=True)
-    invalid = error.code is ResultCode.CONFIGURATION_INVALID
-    sys.exit(EXIT_INVALID if invalid else EXIT_FAILED)
-
-
 def _invalid(field: str, value: str, allowed: str) -> Result:
     problem = Problem(field=field, value=value, allowed=allowed)
     return Error(
--- a/packages/operators/eelgrassdale_operators/__init__.py
+++ b/packages/operators/eelgrassdale_operators/__init__.py
@@ -28,6 +28,7 @@
     AppliedChange,
     StoredConfiguration,
     apply_configuration,
+    conflict_error,
     read_stored,
 )
 from eelgrassdale_operators.building import build_configuration
@@ -54,6 +55,7 @@
     "VmState",
     "apply_configuration",
     "build_configuration",
+    "conflict_error",
     "diff_configurations",
     "in_force_report",
     "load_configuration",
--- a/packages/operators/eelgrassdale_operators/applying.py
+++ b/packages/operators/eelgrassdale_operators/applying.py
@@ -86,7 +86,7 @@
 ) -> Result[AppliedChange, ResultError]:
     current = stored.configuration
     if expected_generation not in (None, current.generation):
-        return Error(_conflict(expected_generation, current, proposed))
+        return Error(conflict_error(expected_generation, current, proposed))
     diff = diff_configurations(current, proposed)
     if not diff and stored.head.version is not None:
         return Ok(AppliedChange(generation=current.generation, diff="", changed=False))
@@ -106,7 +106,7 @@
         return Error(committed.error)
     return read_stored(store).bind(
         lambda found: Error(
-            _conflict(current.generation, found.configuration, proposed)
+            conflict_error(current.generation, found.configuration, proposed)
         )
     )
 
@@ -127,9 +127,14 @@
     return Ok(StoredConfiguration(head=head, configuration=configuration))
 
 
-def _conflict(
+def conflict_error(
     expected: int | None, current: Configuration, proposed: Configuration
 ) -> ResultError:
+    """Return the error of a change that another operator overtook.
+
+    Its only problem carries the diff from the configuration in force to the
+    proposed one.
+    """
     return ResultError(
         code=ResultCode.CONFIGURATION_CONFLICT,
         message=(
