Run the tests on four processes

Ruled out: fewer examples or shorter waits, which would weaken tests. Change: pytest-xdist with four processes, one file on one process.

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 	$(BIN)/ruff check packages examples
 
 test: lint
-	$(BIN)/pytest
+	$(BIN)/pytest --numprocesses 4 --dist loadfile
 
 demo: $(STAMP)
 	$(BIN)/python -m eelgrassdale_standins.demo
