--- a/packages/measures/eelgrassdale_measures/state_size.py
+++ b/packages/measures/eelgrassdale_measures/state_size.py
@@ -28,7 +28,11 @@
 from eelgrassdale.routing.subset import choose_subset
 from eelgrassdale.spread.head import Head, encode_head
 from eelgrassdale.spread.replica import Replica, head_digest_of
-from eelgrassdale.spread.watchers import push_targets
+from eelgrassdale.spread.watchers import (
+    probed_agents,
+    probed_entry_nodes,
+    push_targets,
+)
 from eelgrassdale.telemetry import InvariantMonitor, Metrics
 from eelgrassdale.weights.ownership import assign_owners
 from eelgrassdale.wire import ConfigDelta, ConfigObject
@@ -43,6 +47,8 @@
 ACCOUNTS = 100
 CHUNKS = 1_024
 REPEATS = 5
+PROBED_ENTRY_NODES = 2
+PROBE_LIMIT = 32
 
 
 def run() -> Iterable[dict]:
@@ -90,6 +96,8 @@
         "choose_subset_ms": _milliseconds(lambda: _subset(members)),
         "push_targets": len(push_targets(members, _identity())),
         "push_targets_ms": _milliseconds(lambda: push_targets(members, _identity())),
+        "plan_probes_ms": _milliseconds(lambda: _plan_probes(members)),
+        "expire_hints_ms": _milliseconds(table.expire_hints),
         "assign_owners_ms": _milliseconds(
             lambda: assign_owners(manifest="m", count=CHUNKS, members=local)
         ),
@@ -213,6 +221,11 @@
     choose_subset(service="service-0", node="entry-0", place=place, members=runners)
 
 
+def _plan_probes(members: Members) -> None:
+    probed_entry_nodes(members, _identity(), PROBED_ENTRY_NODES)
+    probed_agents(members, _identity(), PROBE_LIMIT)
+
+
 def _milliseconds(call: Callable[[], object]) -> float:
     """Return the shortest CPU time of a call in milliseconds."""
     times = []
