--- a/packages/standins/eelgrassdale_standins/local.py
+++ b/packages/standins/eelgrassdale_standins/local.py
@@ -4,6 +4,7 @@
 import sys
 import threading
 
+from eelgrassdale_standins.commands import OBJECT_API, VM_LIST
 from eelgrassdale_standins.control import url_of
 from eelgrassdale_standins.demo import demo_topology
 from eelgrassdale_standins.deployment import Deployment
@@ -16,6 +17,22 @@
   -d '{{"prompt": "Which lid fits a 24 cm pot?", "max_tokens": 12}}'"""
 
 
+EXPORTS = """\
+export EELGRASSDALE_OBJECT_API_URL={object_api}
+export EELGRASSDALE_VM_LIST_URL={vm_list}
+export EELGRASSDALE_WEIGHT_SOURCE={weight_source}"""
+
+
+def operator_settings(deployment: Deployment) -> str:
+    """Return the shell commands that let the operators' commands find it."""
+    platform = deployment.addresses.platform
+    return EXPORTS.format(
+        object_api=url_of(platform[OBJECT_API]),
+        vm_list=url_of(platform[VM_LIST]),
+        weight_source=url_of(platform[deployment.topology.weight_sources[0]]),
+    )
+
+
 def first_request(deployment: Deployment) -> str:
     """Return a curl command that asks the model service through an entry node."""
     address = next(iter(deployment.addresses.caller.values()))
@@ -32,6 +49,7 @@
         signal.signal(number, lambda *_: ended.set())
     try:
         with Deployment(demo_topology()) as deployment:
+            print(operator_settings(deployment))
             print(first_request(deployment))
             print("Ctrl-C ends the deployment.", flush=True)
             ended.wait()
