Share the runtime's calls between both handlers

Cause: both handlers passed probe_via, compare and push on in the same way, and the agent built the same failing frame twice. Change: RuntimeHandler in eelgrassdale.node, one _failure frame.

--- a/packages/agent/eelgrassdale_agent/handler.py
+++ b/packages/agent/eelgrassdale_agent/handler.py
@@ -3,13 +3,12 @@
 from typing import Protocol
 
 from eelgrassdale.clock import Clock
+from eelgrassdale.node.handler import RuntimeHandler
+from eelgrassdale.node.runtime import NodeRuntime
 from eelgrassdale.wire import (
     CallRequest,
     ChunkAnswer,
     ChunkRequest,
-    CompareAnswer,
-    CompareRequest,
-    ConfigDelta,
     Cursor,
     Envelope,
     ManifestAnswer,
@@ -24,17 +23,6 @@
 from eelgrassdale_agent.streams import StreamTable
 
 
-class Runtime(Protocol):
-    """The part of `eelgrassdale.node.runtime.NodeRuntime` used here."""
-
-    def note(self, envelope: Envelope) -> None: ...
-    def probe(self, envelope: Envelope) -> ProbeAnswer: ...
-    def probe_via(self, envelope: Envelope, address: str) -> ProbeAnswer: ...
-    def compare(self, envelope: Envelope, request: CompareRequest) -> CompareAnswer: ...
-    def push(self, envelope: Envelope, delta: ConfigDelta) -> int: ...
-    def status(self, envelope: Envelope) -> NodeStatus: ...
-
-
 class Weights(Protocol):
     """The part of `eelgrassdale_agent.transfer.WeightsTask` used here."""
 
@@ -44,12 +32,12 @@
     def facts(self) -> dict[str, str]: ...
 
 
-class AgentHandler:
+class AgentHandler(RuntimeHandler):
     """Passes each call to the part of the agent that answers it.
 
     Parameters
     ----------
-    runtime : Runtime
+    runtime : NodeRuntime
         Configuration and membership.
     gate, guard, intake, streams : AdmissionGate, PauseGuard, Intake, StreamTable
         The request side of the agent.
@@ -64,7 +52,7 @@
     def __init__(
         self,
         *,
-        runtime: Runtime,
+        runtime: NodeRuntime,
         gate: AdmissionGate,
         guard: PauseGuard,
         intake: Intake,
@@ -73,7 +61,7 @@
         incarnation: int,
         clock: Clock,
     ) -> None:
-        self._runtime = runtime
+        super().__init__(runtime=runtime)
         self._gate = gate
         self._guard = guard
         self._intake = intake
@@ -116,18 +104,6 @@
         answer.load_state = self._weights.load_state()
         return answer
 
-    def probe_via(self, envelope: Envelope, address: str) -> ProbeAnswer:
-        """Probe another node for the sender."""
-        return self._runtime.probe_via(envelope, address)
-
-    def compare(self, envelope: Envelope, request: CompareRequest) -> CompareAnswer:
-        """Compare configuration generations."""
-        return self._runtime.compare(envelope, request)
-
-    def push(self, envelope: Envelope, delta: ConfigDelta) -> int:
-        """Take a configuration generation."""
-        return self._runtime.push(envelope, delta)
-
     def status(self, envelope: Envelope) -> NodeStatus:
         """Return counters and facts."""
         self._gate.update_gauges()
--- a/packages/agent/eelgrassdale_agent/streams.py
+++ b/packages/agent/eelgrassdale_agent/streams.py
@@ -248,7 +248,7 @@
     def _frame(self, cursor: Cursor, sender: str, left: int) -> Frame | None:
         stream = self._streams.get((cursor.request_id, cursor.attempt))
         if stream is None or stream.sender != sender:
-            return self._unknown(cursor)
+            return self._failure(cursor, ResultCode.OUTCOME_UNKNOWN)
         answer = stream.answer
         finished = answer.finished
         wanted = min(cursor.window_bytes, MAX_FRAME_BYTES, left)
@@ -266,16 +266,7 @@
     def _lost_position(self, cursor: Cursor, answer: Answer) -> Frame | None:
         if answer.base <= cursor.offset <= answer.end:
             return None
-        return Frame(
-            request_id=cursor.request_id,
-            attempt=cursor.attempt,
-            incarnation=self._incarnation,
-            offset=cursor.offset,
-            data=b"",
-            is_last=True,
-            code=int(ResultCode.ANSWER_TRUNCATED),
-            headers={},
-        )
+        return self._failure(cursor, ResultCode.ANSWER_TRUNCATED)
 
     def _new_frame(
         self, cursor: Cursor, answer: Answer, data: bytes, is_last: bool
@@ -296,7 +287,8 @@
             model_version=answer.model_version,
         )
 
-    def _unknown(self, cursor: Cursor) -> Frame:
+    def _failure(self, cursor: Cursor, code: ResultCode) -> Frame:
+        """Return a last frame that carries no data and a code."""
         return Frame(
             request_id=cursor.request_id,
             attempt=cursor.attempt,
@@ -304,7 +296,7 @@
             offset=cursor.offset,
             data=b"",
             is_last=True,
-            code=int(ResultCode.OUTCOME_UNKNOWN),
+            code=int(code),
             headers={},
         )
 
