Reserve the ports of the weight and wire tests

Cause: one setup of test_loading.py failed in a run on four processes. The tests chose a port, closed its socket and bound it later, so an outgoing connection of another test process could take it in between. Ruled out: load alone; 112 runs of the file's tests on 14 processes at once passed, none of which opens connections beside its own. Change: the socket stays bound with SO_REUSEADDR, as the stand-ins and the entry node's tests do. Conclusion: the likely cause is gone; the failing run's own message was not kept, so it is not proved.

--- a/packages/core/eelgrassdale/wire/tests/test_wire.py
+++ b/packages/core/eelgrassdale/wire/tests/test_wire.py
@@ -14,12 +14,18 @@
     UnknownDeliveryError,
 )
 
+# Sockets that keep their ports until the process ends: an outgoing connection
+# of another test could take a port between its choice and its use.
+_reserved: list[socket.socket] = []
+
 
 def free_address() -> str:
-    """Return a loopback address that was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    """Return a loopback address that only a server with SO_REUSEADDR can bind."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    _reserved.append(sock)
+    return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
 class Handler:
