Wait for stop signals without a lock in the handler

Cause: a local deployment that got SIGTERM twice (timeout signals the process and its group) stayed for 7 minutes until it was killed. The handler called threading.Event.set; a second signal during it waits for the lock that the first one holds. Both programs did the same, so a planned stop could hang. Ruled out: the nodes; all children had ended.

--- a/packages/agent/eelgrassdale_agent/program.py
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -1,6 +1,5 @@
 """Composition of the agent: builds its parts, runs them, stops them in order."""
 
-import signal
 import sys
 import threading
 from collections.abc import Callable
@@ -15,6 +14,7 @@
 from eelgrassdale.node.context import NodeContext, new_context
 from eelgrassdale.node.runtime import NodeRuntime
 from eelgrassdale.results import ResultCode
+from eelgrassdale.stopping import catch_stop_signals
 from eelgrassdale.telemetry import configure_logs
 from eelgrassdale.wire import AgentService, NodeServer
 from eelgrassdale_agent import metrics, pauses, watch
@@ -237,9 +237,7 @@
     configure_logs(
         log_format=cfg.log_format, level=cfg.log_level, node=cfg.name, program="agent"
     )
-    stopping = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stopping.set())
+    wait_for_stop = catch_stop_signals()
     agent = Agent(cfg=cfg)
     try:
         agent.start()
@@ -247,7 +245,7 @@
         code = ResultCode.ADDRESS_UNAVAILABLE
         click.echo(f"{int(code)} {code.name} {exc}", err=True)
         sys.exit(EXIT_ADDRESS)
-    stopping.wait()
+    wait_for_stop()
     agent.stop()
 
 
--- a/packages/entry/eelgrassdale_entry/program.py
+++ b/packages/entry/eelgrassdale_entry/program.py
@@ -1,8 +1,6 @@
 """Composition of an entry node and its graceful stop."""
 
-import signal
 import sys
-import threading
 
 import click
 import structlog
@@ -17,6 +15,7 @@
 from eelgrassdale.routing.choice import Place
 from eelgrassdale.routing.regions import RegionBudget
 from eelgrassdale.settings import EXIT_SETTINGS_INVALID
+from eelgrassdale.stopping import catch_stop_signals
 from eelgrassdale.telemetry import configure_logs
 from eelgrassdale.wire import NodeServer, NodeService, ProbeAnswer
 from eelgrassdale.wire.client import parse_address
@@ -254,9 +253,7 @@
     """Run an entry node until SIGTERM or SIGINT, then stop it gracefully."""
     configure_logs(log_format=cfg.log_format, level=cfg.log_level, node=cfg.name)
     sys.setswitchinterval(THREAD_SWITCH_SECONDS)
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
+    wait_for_stop = catch_stop_signals()
     context = new_context(cfg=cfg, role=Role.ENTRY, clock=clock)
     node = EntryNode(cfg=cfg, context=context)
     try:
@@ -266,7 +263,7 @@
         click.echo(f"{int(code)} {code.name} {exc}", err=True)
         sys.exit(EXIT_SETTINGS_INVALID)
     log.info("serving", caller_address=cfg.caller_address)
-    stop.wait()
+    wait_for_stop()
     node.drain()
     node.stop()
     log.info("stopped")
--- a/packages/standins/eelgrassdale_standins/local.py
+++ b/packages/standins/eelgrassdale_standins/local.py
@@ -1,9 +1,8 @@
 """Runs Lidwright's deployment on loopback until Ctrl-C, for first steps."""
 
-import signal
 import sys
-import threading
 
+from eelgrassdale.stopping import catch_stop_signals
 from eelgrassdale_standins.commands import OBJECT_API, VM_LIST
 from eelgrassdale_standins.control import url_of
 from eelgrassdale_standins.demo import demo_topology
@@ -44,15 +43,13 @@
 
 def main() -> int:
     """Run the deployment; return 1 when it does not start."""
-    ended = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: ended.set())
+    wait_for_stop = catch_stop_signals()
     try:
         with Deployment(demo_topology()) as deployment:
             print(operator_settings(deployment))
             print(first_request(deployment))
             print("Ctrl-C ends the deployment.", flush=True)
-            ended.wait()
+            wait_for_stop()
             deployment.stop_nodes()
     except ProcessError as exc:
         print(f"deployment did not start: {exc}", file=sys.stderr)
