--- a/packages/entry/eelgrassdale_entry/commands/common.py
+++ b/packages/entry/eelgrassdale_entry/commands/common.py
@@ -27,6 +27,14 @@
     required=True,
     help="Base URL of the VM list.",
 )
+expect_generation_option = click.option(
+    "--expect-generation",
+    type=click.IntRange(min=0),
+    help="Refuse the change unless this generation is in force.",
+)
+no_wait_option = click.option(
+    "--no-wait", is_flag=True, help="Return once the change is accepted."
+)
 
 
 def open_store(url: str) -> ObjectStore:
--- a/packages/entry/eelgrassdale_entry/commands/config.py
+++ b/packages/entry/eelgrassdale_entry/commands/config.py
@@ -11,6 +11,8 @@
 from eelgrassdale.platform.vmlist import VmListClient
 from eelgrassdale_entry.commands.common import (
     EXIT_INCOMPLETE,
+    expect_generation_option,
+    no_wait_option,
     open_store,
     or_exit,
     store_option,
@@ -71,12 +73,8 @@
 @path_argument
 @store_option
 @vm_list_option
-@click.option(
-    "--expect-generation",
-    type=click.IntRange(min=0),
-    help="Refuse the change unless this generation is in force.",
-)
-@click.option("--no-wait", is_flag=True, help="Return once the change is accepted.")
+@expect_generation_option
+@no_wait_option
 @click.option(
     "--timeout-seconds",
     type=click.FloatRange(min=0),
--- a/packages/entry/eelgrassdale_entry/commands/model.py
+++ b/packages/entry/eelgrassdale_entry/commands/model.py
@@ -18,6 +18,8 @@
 from eelgrassdale.weights import Manifest, parse_manifest
 from eelgrassdale_entry.commands.common import (
     EXIT_INCOMPLETE,
+    expect_generation_option,
+    no_wait_option,
     open_store,
     or_exit,
     store_option,
@@ -53,12 +55,8 @@
     show_default=True,
     help="Priority on shared links among pushed models.",
 )
-@click.option(
-    "--expect-generation",
-    type=click.IntRange(min=0),
-    help="Refuse the change unless this generation is in force.",
-)
-@click.option("--no-wait", is_flag=True, help="Return once the change is accepted.")
+@expect_generation_option
+@no_wait_option
 @click.option(
     "--timeout-seconds",
     type=click.FloatRange(min=0),
