--- /dev/null
+++ b/packages/core/eelgrassdale/http1/__init__.py
@@ -0,0 +1,29 @@
+"""HTTP/1.1 over asyncio: a server that notices callers that leave, and a client.
+
+`h11` parses and frames; this package owns sockets and time limits.
+"""
+
+from eelgrassdale.http1.client import (
+    ClientConnection,
+    ConnectFailed,
+    ExchangeBroken,
+    connect,
+)
+from eelgrassdale.http1.messages import Head, Headers, Request, header_of
+from eelgrassdale.http1.pool import ConnectionPool
+from eelgrassdale.http1.server import CallerLimits, Exchange, HttpServer
+
+__all__ = [
+    "CallerLimits",
+    "ClientConnection",
+    "ConnectFailed",
+    "ConnectionPool",
+    "Exchange",
+    "ExchangeBroken",
+    "Head",
+    "Headers",
+    "HttpServer",
+    "Request",
+    "connect",
+    "header_of",
+]
--- /dev/null
+++ b/packages/core/eelgrassdale/http1/client.py
@@ -0,0 +1,174 @@
+"""Client connections to one address, one request at a time on each."""
+
+import asyncio
+import time
+
+import h11
+
+from eelgrassdale.http1.messages import Head, Request, text_headers, wire_headers
+from eelgrassdale.http1.receiving import Receiver
+from eelgrassdale.http1.sockets import watch_for_silence
+
+Address = tuple[str, int]
+
+MAX_HEAD_BYTES = 65_536
+
+
+class ConnectFailed(Exception):
+    """No connection was made, so no byte of the request was sent."""
+
+
+class ExchangeBroken(Exception):
+    """The connection failed or sent no valid answer; the request may have run."""
+
+
+class ClientConnection:
+    """One connection; `idle_since` is when it last became free to reuse."""
+
+    def __init__(
+        self,
+        *,
+        address: Address,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self.address = address
+        self.idle_since = time.monotonic()
+        self.keep_alive_seconds: float | None = None
+        self.exchanges = 0
+        self._receiver = Receiver(reader=reader)
+        self._writer = writer
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+    async def send(self, req: Request) -> None:
+        """Send a whole request.
+
+        Raises
+        ------
+        ExchangeBroken
+            If the connection failed; parts of the request may have arrived.
+        """
+        self.exchanges += 1
+        headers = wire_headers(req.headers)
+        if req.body or req.method not in ("GET", "HEAD", "DELETE"):
+            headers.append((b"content-length", str(len(req.body)).encode()))
+        try:
+            data = self._h11.send(
+                h11.Request(
+                    method=req.method.encode(),
+                    target=req.target.encode("latin-1"),
+                    headers=headers,
+                )
+            )
+            if req.body:
+                data += self._h11.send(h11.Data(data=req.body))
+            data += self._h11.send(h11.EndOfMessage())
+            self._writer.write(data)
+            await self._writer.drain()
+        except (OSError, h11.ProtocolError) as exc:
+            raise ExchangeBroken(f"cannot send to {self.address}: {exc!r}") from exc
+
+    async def head(self, *, timeout: float | None = None) -> Head:
+        """Return the head of the answer.
+
+        Raises
+        ------
+        ExchangeBroken
+            If the connection ended or sent something else.
+        TimeoutError
+            If no byte came for `timeout` seconds.
+        """
+        while True:
+            event = await self._next(timeout)
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise ExchangeBroken(f"{self.address} sent no answer: {event!r}")
+            head = Head(status=event.status_code, headers=text_headers(event.headers))
+            self._note_keep_alive(head)
+            return head
+
+    async def chunk(self, *, timeout: float | None = None) -> bytes | None:
+        """Return the next bytes of the body, or None after its end.
+
+        Raises as `head` does.
+        """
+        event = await self._next(timeout)
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return None
+        raise ExchangeBroken(f"{self.address} ended its answer early: {event!r}")
+
+    async def body(self, *, limit: int, timeout: float | None = None) -> bytes:
+        """Return the whole body; one longer than `limit` bytes breaks the exchange."""
+        parts: list[bytes] = []
+        size = 0
+        while (part := await self.chunk(timeout=timeout)) is not None:
+            size += len(part)
+            if size > limit:
+                raise ExchangeBroken(f"answer of {self.address} exceeds {limit} bytes")
+            parts.append(part)
+        return b"".join(parts)
+
+    def release(self) -> bool:
+        """Make the connection ready for another request; false if it cannot be.
+
+        Bytes behind a complete answer belong to no request, so a connection
+        that has any is not used again.
+        """
+        trailing, is_closed = self._h11.trailing_data
+        if trailing or is_closed:
+            return False
+        if self._h11.their_state is not h11.DONE or self._h11.our_state is not h11.DONE:
+            return False
+        self._h11.start_next_cycle()
+        self.idle_since = time.monotonic()
+        self._receiver.pending()
+        return True
+
+    def is_quiet(self) -> bool:
+        """Return whether an idle connection is open and received nothing."""
+        return not self._receiver.pending().done()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self._receiver.stop()
+        transport = self._writer.transport
+        transport.abort()
+
+    async def _next(self, timeout: float | None) -> object:
+        try:
+            event = self._h11.next_event()
+            while event is h11.NEED_DATA:
+                data = await self._receiver.receive(timeout=timeout)
+                self._h11.receive_data(data)
+                event = self._h11.next_event()
+        except TimeoutError:
+            raise
+        except (OSError, h11.ProtocolError) as exc:
+            raise ExchangeBroken(f"answer of {self.address}: {exc!r}") from exc
+        return event
+
+    def _note_keep_alive(self, head: Head) -> None:
+        for part in head.header("keep-alive").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.strip().isdecimal():
+                self.keep_alive_seconds = float(value)
+
+
+async def connect(address: Address, *, timeout: float) -> ClientConnection:
+    """Open a connection.
+
+    Raises
+    ------
+    ConnectFailed
+        If the address refused or did not answer within `timeout` seconds.
+    """
+    try:
+        async with asyncio.timeout(timeout):
+            reader, writer = await asyncio.open_connection(*address)
+    except (OSError, TimeoutError) as exc:
+        raise ConnectFailed(f"{address}: {exc!r}") from exc
+    watch_for_silence(writer.get_extra_info("socket"))
+    return ClientConnection(address=address, reader=reader, writer=writer)
--- /dev/null
+++ b/packages/core/eelgrassdale/http1/server.py
@@ -0,0 +1,352 @@
+"""A server whose handlers are cancelled when their caller leaves."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+import h11
+import structlog
+from attrs import frozen
+
+from eelgrassdale.http1.messages import (
+    Headers,
+    Request,
+    header_of,
+    text_headers,
+    wire_headers,
+)
+from eelgrassdale.http1.receiving import Receiver
+from eelgrassdale.http1.sockets import watch_for_silence
+
+# Bytes of an answer that wait for a slow reader before its source is paused.
+WRITE_BUFFER_BYTES = 32_768
+# A caller that takes no byte for this long is disconnected.
+STALLED_READER_SECONDS = 8.0
+# Bytes behind a request that are kept while it is handled.
+READ_AHEAD_BYTES = 65_536
+# Time for a caller to read an error before the rest of its request is dropped.
+LINGER_SECONDS = 0.5
+BACKLOG = 512
+
+log = structlog.get_logger(__name__)
+
+
+@frozen(kw_only=True)
+class CallerLimits:
+    """What a caller may send, in bytes, and how long it may take, in seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_seconds: float = 3.0
+    body_seconds: float = 10.0
+    idle_seconds: float = 15.0
+
+
+class Exchange:
+    """One request of a caller and the answer to it.
+
+    `respond` sends a whole answer; `start`, `write` and `finish` send one in
+    parts. An exchange that is left unfinished closes its connection, so that
+    a part never looks like a whole answer.
+    """
+
+    def __init__(self, *, request: Request, connection: "_Connection") -> None:
+        self.request = request
+        self.is_started = False
+        self.is_finished = False
+        self._connection = connection
+
+    async def respond(
+        self, status: int, headers: Headers = (), body: bytes = b""
+    ) -> None:
+        """Send a whole answer."""
+        length = (("content-length", str(len(body))),)
+        await self.start(status, headers + length)
+        if body and self.request.method != "HEAD":
+            await self.write(body)
+        await self.finish()
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Send the head; without a length, the body is sent in chunks."""
+        self.is_started = True
+        await self._connection.send_head(status, headers)
+
+    async def write(self, data: bytes) -> None:
+        """Send bytes of the body; waits for a slow reader."""
+        await self._connection.send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """End the answer."""
+        await self._connection.send(h11.EndOfMessage())
+        self.is_finished = True
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer is seen to be incomplete."""
+        self._connection.abort()
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class HttpServer:
+    """Listens on one address and gives each request to `handler`.
+
+    Parameters
+    ----------
+    handler : callable
+        Coroutine function that answers one `Exchange`.
+    limits : callable
+        Returns the `CallerLimits` in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        limits: Callable[[], CallerLimits] = CallerLimits,
+    ) -> None:
+        self.handler = handler
+        self.limits = limits
+        self.is_leaving = False
+        self.handling = 0
+        self._connections: set[_Connection] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, host: str, port: int) -> tuple[str, int]:
+        """Listen; return the address, with the port that was given for port 0."""
+        self._server = await asyncio.start_server(
+            self._serve, host, port, backlog=BACKLOG, limit=READ_AHEAD_BYTES
+        )
+        return self._server.sockets[0].getsockname()
+
+    def leave(self) -> None:
+        """Let every further answer ask its caller to close the connection."""
+        self.is_leaving = True
+
+    def stop_listening(self) -> None:
+        """Accept no further connections and close the idle ones."""
+        if self._server is not None:
+            self._server.close()
+        for conn in list(self._connections):
+            conn.close_if_idle()
+
+    def abort_all(self) -> None:
+        """Close all connections at once."""
+        for conn in list(self._connections):
+            conn.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        watch_for_silence(writer.get_extra_info("socket"))
+        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        conn = _Connection(server=self, reader=reader, writer=writer)
+        self._connections.add(conn)
+        try:
+            await conn.run()
+        except (OSError, TimeoutError) as exc:
+            log.debug("caller connection failed", error=repr(exc))
+        finally:
+            self._connections.discard(conn)
+            conn.abort()
+
+
+class _Connection:
+    def __init__(
+        self,
+        *,
+        server: HttpServer,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        self._server = server
+        self._receiver = Receiver(reader=reader)
+        self._writer = writer
+        self._is_idle = True
+        self._h11 = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=server.limits().header_bytes
+        )
+
+    async def run(self) -> None:
+        while True:
+            exchange = await self._next_exchange()
+            if exchange is None:
+                return
+            await self._handle(exchange)
+            if not exchange.is_finished or self._h11.our_state is not h11.DONE:
+                await self._close_after_answer(exchange)
+                return
+            if self._h11.their_state is not h11.DONE:
+                await self._close_after_answer(exchange)
+                return
+            self._h11.start_next_cycle()
+
+    def abort(self) -> None:
+        self._receiver.stop()
+        self._writer.transport.abort()
+
+    def close_if_idle(self) -> None:
+        if self._is_idle:
+            self._writer.close()
+
+    async def send_head(self, status: int, headers: Headers) -> None:
+        if self._server.is_leaving and not header_of(headers, "connection"):
+            headers = (*headers, ("connection", "close"))
+        await self.send(h11.Response(status_code=status, headers=wire_headers(headers)))
+
+    async def send(self, event: h11.Event) -> None:
+        data = self._h11.send(event)
+        if data:
+            self._writer.write(data)
+        try:
+            async with asyncio.timeout(STALLED_READER_SECONDS):
+                await self._writer.drain()
+        except TimeoutError:
+            self.abort()
+            raise ConnectionAbortedError("the caller stopped reading") from None
+
+    async def _next_exchange(self) -> Exchange | None:
+        try:
+            request = await self._read_request()
+        except h11.RemoteProtocolError as exc:
+            await self._refuse(exc.error_status_hint, str(exc))
+            return None
+        except _RefusedRequest as exc:
+            await self._refuse(exc.status, str(exc))
+            return None
+        if request is None:
+            return None
+        return Exchange(request=request, connection=self)
+
+    async def _read_request(self) -> Request | None:
+        limits = self._server.limits()
+        head = await self._read_head(limits)
+        if head is None:
+            return None
+        headers = text_headers(head.headers)
+        if _size_of(headers) > limits.header_bytes:
+            raise _RefusedRequest(431, f"head exceeds {limits.header_bytes} bytes")
+        declared = header_of(headers, "content-length")
+        if declared and int(declared) > limits.body_bytes:
+            raise _RefusedRequest(413, f"body exceeds {limits.body_bytes} bytes")
+        if self._h11.they_are_waiting_for_100_continue:
+            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        return Request(
+            method=head.method.decode("latin-1"),
+            target=head.target.decode("latin-1"),
+            headers=headers,
+            body=await self._read_body(limits),
+        )
+
+    async def _read_head(self, limits: CallerLimits) -> h11.Request | None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limits.idle_seconds
+        has_begun = False
+        while (event := self._h11.next_event()) is h11.NEED_DATA:
+            self._is_idle = not has_begun and not self._h11.trailing_data[0]
+            if not self._is_idle and not has_begun:
+                has_begun = True
+                deadline = loop.time() + limits.header_seconds
+            try:
+                data = await self._receiver.receive(timeout=deadline - loop.time())
+            except TimeoutError:
+                if not has_begun:
+                    return None
+                raise _RefusedRequest(408, "the head took too long") from None
+            self._h11.receive_data(data)
+        self._is_idle = False
+        return event if isinstance(event, h11.Request) else None
+
+    async def _read_body(self, limits: CallerLimits) -> bytes:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limits.body_seconds
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._h11.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    raise _RefusedRequest(
+                        413, f"body exceeds {limits.body_bytes} bytes"
+                    )
+                parts.append(bytes(event.data))
+                continue
+            try:
+                data = await self._receiver.receive(timeout=deadline - loop.time())
+            except TimeoutError:
+                raise _RefusedRequest(408, "the body took too long") from None
+            self._h11.receive_data(data)
+
+    async def _refuse(self, status: int, reason: str) -> None:
+        log.info("request refused before it was read", status=status, reason=reason)
+        if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = f"{reason}\n".encode()
+        headers = (
+            ("content-type", "text/plain"),
+            ("content-length", str(len(body))),
+            ("connection", "close"),
+        )
+        with contextlib.suppress(OSError, h11.LocalProtocolError):
+            await self.send_head(status, headers)
+            await self.send(h11.Data(data=body))
+            await self.send(h11.EndOfMessage())
+            await self._linger()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        """Run the handler, and cancel it when the caller closes the connection."""
+        self._server.handling += 1
+        task = asyncio.ensure_future(self._server.handler(exchange))
+        try:
+            await self._watch(task)
+        finally:
+            if not task.done():
+                task.cancel()
+            with contextlib.suppress(asyncio.CancelledError, OSError):
+                await task
+            self._server.handling -= 1
+
+    async def _watch(self, task: "asyncio.Future[None]") -> None:
+        ahead = 0
+        while not task.done() and ahead < READ_AHEAD_BYTES:
+            read = self._receiver.pending()
+            await asyncio.wait((task, read), return_when=asyncio.FIRST_COMPLETED)
+            if not read.done():
+                continue
+            if task.done():
+                return
+            data = self._receiver.take()
+            if not data:
+                log.debug("caller left")
+                return
+            self._h11.receive_data(data)
+            ahead += len(data)
+        await asyncio.wait((task,))
+
+    async def _close_after_answer(self, exchange: Exchange) -> None:
+        if exchange.is_finished:
+            await self._linger()
+        else:
+            self.abort()
+
+    async def _linger(self) -> None:
+        """Read what is left, since closing with unread bytes resets the answer."""
+        with contextlib.suppress(OSError, TimeoutError):
+            self._writer.write_eof()
+            async with asyncio.timeout(LINGER_SECONDS):
+                while await self._receiver.receive(timeout=LINGER_SECONDS):
+                    pass
+
+
+def _size_of(headers: Headers) -> int:
+    """Return the bytes of the header lines, with separators and line ends."""
+    return sum(len(name) + len(value) + 4 for name, value in headers)
+
+
+class _RefusedRequest(Exception):
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
--- /dev/null
+++ b/packages/core/eelgrassdale/http1/tests/test_server.py
@@ -0,0 +1,144 @@
+"""Tests of the server against raw sockets."""
+
+import asyncio
+
+import pytest
+
+from eelgrassdale.http1 import CallerLimits, HttpServer
+
+SECONDS = 5
+
+
+def serve(handler, client, limits=None):
+    """Run `client(reader, writer, server)` against a server and return its result."""
+
+    async def run():
+        server = HttpServer(handler=handler, limits=lambda: limits or CallerLimits())
+        host, port = await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(host, port)
+        try:
+            async with asyncio.timeout(SECONDS):
+                return await client(reader, writer, server)
+        finally:
+            writer.close()
+            server.stop_listening()
+            server.abort_all()
+
+    return asyncio.run(run())
+
+
+async def echo(exchange):
+    await exchange.respond(200, (("x-seen", exchange.request.target),), b"hello")
+
+
+def test_two_requests_sent_at_once_are_answered_in_order():
+    async def client(reader, writer, _server):
+        writer.write(
+            b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n"
+        )
+        writer.write(b"Connection: close\r\n\r\n")
+        return await reader.read()
+
+    data = serve(echo, client)
+    assert data.index(b"x-seen: /1") < data.index(b"x-seen: /2")
+    assert data.count(b"HTTP/1.1 200") == 2
+
+
+def test_handler_is_cancelled_when_its_caller_leaves():
+    """Work for a caller that is gone must not go on."""
+    begun, ended = asyncio.Event(), asyncio.Event()
+
+    async def handler(_exchange):
+        begun.set()
+        try:
+            await asyncio.sleep(SECONDS)
+        finally:
+            ended.set()
+
+    async def client(_reader, writer, _server):
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await begun.wait()
+        writer.close()
+        await ended.wait()
+        return True
+
+    assert serve(handler, client)
+
+
+def test_answer_that_is_left_unfinished_does_not_look_complete():
+    async def handler(exchange):
+        await exchange.start(200, ())
+        await exchange.write(b"part")
+        raise ConnectionResetError("source gone")
+
+    async def client(reader, writer, _server):
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        data = b""
+        try:
+            while part := await reader.read(1000):
+                data += part
+        except ConnectionResetError:
+            pass
+        return data
+
+    assert b"0\r\n\r\n" not in serve(handler, client)
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nHost: a\r\nX: " + b"x" * 3000 + b"\r\n\r\n", b"431"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n", b"413"),
+        (b"nonsense\r\n\r\n", b"400"),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            b"Content-Length: 4\r\n\r\nabcd",
+            b"400",
+        ),
+        (b"GET / HTTP/1.1\r\nHost: a\r\n", b"408"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc", b"408"),
+    ],
+)
+def test_bad_requests_are_refused_before_they_reach_a_handler(data, status):
+    limits = CallerLimits(
+        header_bytes=2000, body_bytes=1000, header_seconds=0.2, body_seconds=0.2
+    )
+
+    async def handler(exchange):
+        pytest.fail(f"handled {exchange.request}")
+
+    async def client(reader, writer, _server):
+        writer.write(data)
+        return await reader.read()
+
+    assert serve(handler, client, limits).startswith(b"HTTP/1.1 " + status)
+
+
+def test_chunked_body_above_the_limit_is_refused():
+    async def client(reader, writer, _server):
+        writer.write(
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        writer.write(b"64\r\n" + b"x" * 100 + b"\r\n" + b"64\r\n" + b"x" * 100)
+        return await reader.read()
+
+    data = serve(echo, client, CallerLimits(body_bytes=150))
+    assert data.startswith(b"HTTP/1.1 413")
+
+
+def test_leaving_server_asks_callers_to_close_after_their_answer():
+    async def client(reader, writer, server):
+        server.leave()
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        return await reader.read()
+
+    data = serve(echo, client)
+    assert b"connection: close" in data
+    assert data.endswith(b"hello")
+
+
+def test_silent_connection_is_closed_after_the_idle_time():
+    async def client(reader, _writer, _server):
+        return await reader.read()
+
+    assert serve(echo, client, CallerLimits(idle_seconds=0.1)) == b""
--- a/packages/core/eelgrassdale/results/codes.py
+++ b/packages/core/eelgrassdale/results/codes.py
@@ -50,6 +50,8 @@
     NOT_READY = 115
     ACCOUNT_LIMIT = 116
     KEY_MISMATCH = 117
+    UNKNOWN_ROUTE = 118
+    UNKNOWN_API_KEY = 119
     OUTCOME_UNKNOWN = 201
     KEY_EXPIRED = 202
     INCARNATION_GONE = 203
@@ -149,6 +151,10 @@
     _C.KEY_MISMATCH: _not_run(
         409, Retry.NO, "the key belongs to a different request or service"
     ),
+    _C.UNKNOWN_ROUTE: _not_run(
+        404, Retry.NO, "no route of the configuration fits host and path"
+    ),
+    _C.UNKNOWN_API_KEY: _not_run(401, Retry.NO, "no client account holds this API key"),
     _C.OUTCOME_UNKNOWN: _may_have_run(
         502, Retry.IF_IDEMPOTENT, "the agent's answer was lost"
     ),
--- a/packages/core/eelgrassdale/routing/retry.py
+++ b/packages/core/eelgrassdale/routing/retry.py
@@ -27,7 +27,9 @@
 
 @define(kw_only=True)
 class RetryBudget:
-    """Retries that a service may still make: one tenth of its requests.
+    """Retries that a service may still make: a share of its requests.
+
+    Unused retries are saved up to `limit`.
 
     Examples
     --------
@@ -40,11 +42,13 @@
     """
 
     tokens: float = BUDGET_START
+    share: float = RETRY_SHARE
+    limit: float = BUDGET_MAX
 
     def add_request(self) -> None:
         """Count a request of the service."""
         # Rounding keeps ten shares of 0.1 equal to one whole retry.
-        self.tokens = min(BUDGET_MAX, round(self.tokens + RETRY_SHARE, 6))
+        self.tokens = min(self.limit, round(self.tokens + self.share, 6))
 
     def take(self) -> bool:
         """Take one retry; false when the budget is used up."""
--- a/packages/core/eelgrassdale/settings.py
+++ b/packages/core/eelgrassdale/settings.py
@@ -14,8 +14,8 @@
 from attrs import field, frozen
 from expression import Error, Ok, Result
 
+from eelgrassdale.logs import LOG_FORMATS
 from eelgrassdale.results import Problem, ResultCode, ResultError
-from eelgrassdale.telemetry.logs import LOG_FORMATS
 
 LOG_LEVELS = ("debug", "info", "warning", "error")
 MAX_PORT = 65535
--- a/packages/core/eelgrassdale/telemetry/__init__.py
+++ b/packages/core/eelgrassdale/telemetry/__init__.py
@@ -1,7 +1,7 @@
 """Logs, metrics, traces and invariant checks of a process."""
 
+from eelgrassdale.logs import configure_logs
 from eelgrassdale.telemetry.invariants import InvariantMonitor
-from eelgrassdale.telemetry.logs import configure_logs
 from eelgrassdale.telemetry.metrics import Metrics
 from eelgrassdale.telemetry.traces import SpanKind, Tracer, new_tracer
 
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/loads.py
@@ -0,0 +1,97 @@
+"""Load of backend servers, from this node's work and its peers' reports."""
+
+from collections.abc import Mapping
+
+from attrs import define, field, frozen
+
+# A peer's report is dropped after this time; the peer is then silent or gone,
+# and what it sent ends soon.
+REPORT_SECONDS = 1.5
+
+
+@frozen(kw_only=True)
+class Load:
+    """Work at one backend server: requests, and prompt tokens yet to be read."""
+
+    requests: int = 0
+    tokens: int = 0
+
+    def __add__(self, other: "Load") -> "Load":
+        """Return the sum of two loads."""
+        return Load(
+            requests=self.requests + other.requests, tokens=self.tokens + other.tokens
+        )
+
+
+@define(kw_only=True)
+class Work:
+    """One request sent to a backend server; `tokens` becomes 0 at its first event."""
+
+    server: str
+    tokens: int
+
+
+@define
+class _Report:
+    at: float
+    loads: Mapping[str, Load]
+
+
+@define
+class LoadBook:
+    """Open work of this node and the last reports of its peers.
+
+    Examples
+    --------
+    >>> book = LoadBook()
+    >>> work = book.sent("s-1", tokens=900)
+    >>> book.note_report("peer", {"s-1": Load(requests=2)}, now=0.0)
+    >>> book.load_of("s-1", now=0.1)
+    Load(requests=3, tokens=900)
+
+    """
+
+    _own: dict[str, Load] = field(factory=dict)
+    _reports: dict[str, _Report] = field(factory=dict)
+
+    def sent(self, server: str, *, tokens: int) -> Work:
+        """Add work that is about to be sent."""
+        self._add(server, Load(requests=1, tokens=tokens))
+        return Work(server=server, tokens=tokens)
+
+    def started(self, work: Work) -> None:
+        """Note that the prompt was read."""
+        self._add(work.server, Load(tokens=-work.tokens))
+        work.tokens = 0
+
+    def ended(self, work: Work) -> None:
+        """Remove work that ended in any way."""
+        self._add(work.server, Load(requests=-1, tokens=-work.tokens))
+        work.tokens = 0
+
+    def note_report(self, peer: str, loads: Mapping[str, Load], *, now: float) -> None:
+        """Replace what a peer last reported."""
+        self._reports[peer] = _Report(now, loads)
+
+    def forget_peer(self, peer: str) -> None:
+        """Drop the report of a peer that is gone."""
+        self._reports.pop(peer, None)
+
+    def own_loads(self) -> Mapping[str, Load]:
+        """Return the open work of this node by backend server."""
+        return dict(self._own)
+
+    def load_of(self, server: str, *, now: float) -> Load:
+        """Return the work of all nodes at one backend server."""
+        total = self._own.get(server, Load())
+        for report in self._reports.values():
+            if now - report.at <= REPORT_SECONDS and server in report.loads:
+                total += report.loads[server]
+        return total
+
+    def _add(self, server: str, change: Load) -> None:
+        load = self._own.get(server, Load()) + change
+        if load.requests <= 0:
+            self._own.pop(server, None)
+        else:
+            self._own[server] = load
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/model.py
@@ -0,0 +1,176 @@
+"""The configuration and the backend servers as a gateway sees them.
+
+Times are in seconds, sizes in bytes; moments are monotonic seconds.
+"""
+
+from collections.abc import Mapping
+from functools import cached_property
+
+from attrs import Factory, field, frozen
+
+from eelgrassdale.http1 import CallerLimits
+
+
+@frozen(kw_only=True)
+class Split:
+    """One service of a route and its share of the route's requests."""
+
+    service: str
+    weight: float = 1.0
+
+
+@frozen(kw_only=True)
+class Route:
+    """Requests of one host below one path prefix.
+
+    `is_idempotent` requests may run more than once; `is_resumable` streams
+    may be continued on another backend server behind the last event.
+    `regions` are the only regions that may run or store its requests; empty
+    allows all. `priority` 0 is the most urgent.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    splits: tuple[Split, ...]
+    is_stream: bool = False
+    is_idempotent: bool = False
+    is_resumable: bool = False
+    is_anonymous: bool = False
+    timeout: float = 30.0
+    objective: float = 1.0
+    priority: int = 0
+    max_attempts: int = 1
+    regions: frozenset[str] = frozenset()
+
+
+@frozen(kw_only=True)
+class EngineProfile:
+    """Speed and size of a service's model engines.
+
+    `read_rate` is prompt tokens a second, `step` the seconds of one token of
+    all running requests, `stride` the steps between two events.
+    """
+
+    slots: int
+    read_rate: float
+    step: float
+    stride: int = 1
+    memory_tokens: int = 0
+    layers: int = 0
+
+
+@frozen(kw_only=True)
+class Origin:
+    """Where the weights of models come from."""
+
+    address: tuple[str, int]
+    region: str = ""
+
+
+@frozen(kw_only=True)
+class Service:
+    """Backend servers that run the same requests.
+
+    `cold_rate` is the requests a second that a cold one can bear, 0 for no
+    bound.
+    """
+
+    name: str
+    max_connections: int = 64
+    cold_rate: float = 0.0
+    engine: EngineProfile | None = None
+    origin: Origin | None = None
+
+
+@frozen(kw_only=True)
+class Account:
+    """A client account; `priority` overrides that of routes unless None."""
+
+    name: str
+    priority: int | None = None
+    regions: frozenset[str] = frozenset()
+
+
+@frozen(kw_only=True, slots=False)
+class RouteTable:
+    """One version of the operators' configuration.
+
+    Examples
+    --------
+    >>> table = RouteTable(
+    ...     version=1,
+    ...     routes=(
+    ...         Route(name="a", host="h", prefix="/a/", splits=()),
+    ...         Route(name="b", host="h", prefix="/a/b/", splits=()),
+    ...     ),
+    ... )
+    >>> table.route_for("h", "/a/b/x").name, table.route_for("h", "/c") is None
+    ('b', True)
+
+    """
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: Mapping[str, Service] = Factory(dict)
+    limits: CallerLimits = Factory(CallerLimits)
+    accounts_by_key: Mapping[str, Account] = field(factory=dict, repr=False)
+    has_accounts: bool = False
+
+    @cached_property
+    def _by_host(self) -> dict[str, dict[str, Route]]:
+        by_host: dict[str, dict[str, Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, {})[route.prefix] = route
+        return by_host
+
+    def route_for(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path, or None."""
+        prefixes = self._by_host.get(host)
+        if not prefixes:
+            return None
+        end = path.rfind("/")
+        while end >= 0:
+            route = prefixes.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def routes_of_host(self, host: str) -> tuple[Route, ...]:
+        """Return the routes of a host."""
+        return tuple(self._by_host.get(host, {}).values())
+
+
+@frozen(kw_only=True)
+class LoadedLayers:
+    """Consecutive layers of a model's weights, `end` exclusive."""
+
+    start: int
+    end: int
+    version: int
+
+
+@frozen(kw_only=True)
+class BackendServer:
+    """One incarnation of a backend server as the platform lists it.
+
+    `id` is new at most starts, `born` (Unix milliseconds) at every start.
+    `versions` maps a model to the version that is loaded whole.
+    """
+
+    id: str
+    born: int = 0
+    service: str
+    address: tuple[str, int]
+    data_centre: str
+    region: str
+    slots: int = 1
+    is_leaving: bool = False
+    cold_until: float = 0.0
+    versions: Mapping[str, int] = Factory(dict)
+
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """What distinguishes this start from every other."""
+        return (self.id, self.born)
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -0,0 +1,241 @@
+"""Which gateways are alive, and what they report, by direct heartbeats.
+
+No node is special and none is elected. A node sends its heartbeat to every
+peer it knows; each heartbeat also names a few other peers, so that a node that
+knows one of them finds the rest.
+"""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+import structlog
+from attrs import define, frozen
+
+from eelgrassdale.clock import Clock
+from eelgrassdale_gateway.loads import Load, LoadBook
+from eelgrassdale_gateway.messages import (
+    Heartbeat,
+    PeerAddress,
+    ServerLoad,
+    ServerNotice,
+    decode,
+    encode,
+)
+from eelgrassdale_gateway.notices import NoticeBook
+
+# Loads must be about as fresh as the time between two requests of a node.
+HEARTBEAT_SECONDS = 0.2
+# Seven lost heartbeats in a row do not happen on a link that works.
+SILENT_SECONDS = 1.4
+# A silent peer is still told of this node, more rarely, while it may return.
+SILENT_EVERY = 10
+FORGET_SECONDS = 30.0
+KNOWN_PER_HEARTBEAT = 3
+MAX_PEERS = 1024
+
+log = structlog.get_logger(__name__)
+
+Address = tuple[str, int]
+
+
+@frozen(kw_only=True)
+class NodeFacts:
+    """What a gateway tells its peers of itself."""
+
+    name: str
+    incarnation: int
+    caller_address: Address
+    data_centre: str
+    region: str
+
+
+@define(kw_only=True)
+class Peer:
+    """Another gateway; `facts` is None until it was heard."""
+
+    address: Address
+    facts: NodeFacts | None = None
+    sequence: int = -1
+    heard_at: float = float("-inf")
+    known_since: float = 0.0
+    is_leaving: bool = False
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Sends and receives heartbeats; used from the event loop's thread only."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        me: NodeFacts,
+        address: Address,
+        loads: LoadBook,
+        notices: NoticeBook,
+        on_change: Callable[[], None],
+        seed: int | None = None,
+    ) -> None:
+        self.me = me
+        self.is_leaving = False
+        self._clock = clock
+        self._address = address
+        self._loads = loads
+        self._notices = notices
+        self._on_change = on_change
+        self._rng = Random(seed)
+        self._peers: dict[Address, Peer] = {}
+        self._sequence = 0
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self) -> None:
+        """Bind the address and send heartbeats from now on."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=self._address)
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        """Keep the transport."""
+        self._transport = transport
+
+    def introduce(self, address: Address) -> None:
+        """Add a peer that may be alive."""
+        if address == self._address or address in self._peers:
+            return
+        if len(self._peers) >= MAX_PEERS:
+            return
+        self._peers[address] = Peer(
+            address=address, known_since=self._clock.monotonic()
+        )
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            self.send_heartbeats()
+            await asyncio.sleep(HEARTBEAT_SECONDS * self._rng.uniform(0.9, 1.1))
+
+    def leave(self) -> None:
+        """Tell all peers that this node leaves."""
+        self.is_leaving = True
+        self.send_heartbeats()
+
+    def live(self) -> list[Peer]:
+        """Return the peers that are alive and not leaving."""
+        now = self._clock.monotonic()
+        return [p for p in self._peers.values() if _is_live(p, now)]
+
+    def live_nodes(self) -> int:
+        """Return the number of live gateways, this one included."""
+        return 1 + len(self.live())
+
+    def send_heartbeats(self) -> None:
+        """Send one heartbeat to each peer."""
+        if self._transport is None:
+            return
+        now = self._clock.monotonic()
+        self._sequence += 1
+        self._forget_old(now)
+        data = encode(self._heartbeat(now))
+        for place, peer in enumerate(self._peers.values()):
+            is_silent = now - peer.heard_at > SILENT_SECONDS
+            is_new = now - peer.known_since < SILENT_SECONDS
+            is_turn = (self._sequence + place) % SILENT_EVERY == 0
+            if not is_silent or is_new or is_turn:
+                self._transport.sendto(data, peer.address)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """Take a heartbeat or a notice."""
+        message = decode(data)
+        if message is None:
+            log.warning("datagram dropped", source=f"{addr[0]}:{addr[1]}")
+        elif isinstance(message, ServerNotice):
+            if self._notices.note(message, now=self._clock.monotonic()):
+                self._on_change()
+        else:
+            self._take_heartbeat(message, addr)
+
+    def _take_heartbeat(self, heartbeat: Heartbeat, addr: Address) -> None:
+        self.introduce(addr)
+        peer = self._peers.get(addr)
+        if peer is not None:
+            self._note(peer, heartbeat)
+        for known in heartbeat.known:
+            self.introduce((known.host, known.port))
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore refused datagrams; silence is what counts."""
+        log.debug("datagram refused", error=repr(exc))
+
+    def _note(self, peer: Peer, heartbeat: Heartbeat) -> None:
+        now = self._clock.monotonic()
+        facts = peer.facts
+        incarnation = facts.incarnation if facts else -1
+        if (heartbeat.incarnation, heartbeat.sequence) <= (incarnation, peer.sequence):
+            return
+        was_live = _is_live(peer, now)
+        peer.facts = _facts_of(heartbeat)
+        peer.sequence = heartbeat.sequence
+        peer.heard_at = now
+        peer.is_leaving = heartbeat.is_leaving
+        loads = {
+            load.server: Load(requests=load.requests, tokens=load.tokens)
+            for load in heartbeat.loads
+        }
+        self._loads.note_report(peer.facts.name, loads, now=now)
+        if was_live != _is_live(peer, now):
+            log.info(
+                "peer changed",
+                peer=peer.facts.name,
+                is_live=not was_live,
+                incarnation=heartbeat.incarnation,
+            )
+        self._on_change()
+
+    def _forget_old(self, now: float) -> None:
+        for address, peer in list(self._peers.items()):
+            last = max(peer.heard_at, peer.known_since)
+            if now - last > FORGET_SECONDS:
+                del self._peers[address]
+                if peer.facts is not None:
+                    self._loads.forget_peer(peer.facts.name)
+
+    def _heartbeat(self, now: float) -> Heartbeat:
+        live = [peer for peer in self._peers.values() if _is_live(peer, now)]
+        known = self._rng.sample(live, min(KNOWN_PER_HEARTBEAT, len(live)))
+        return Heartbeat(
+            name=self.me.name,
+            incarnation=self.me.incarnation,
+            sequence=self._sequence,
+            is_leaving=self.is_leaving,
+            caller_host=self.me.caller_address[0],
+            caller_port=self.me.caller_address[1],
+            data_centre=self.me.data_centre,
+            region=self.me.region,
+            loads=[
+                ServerLoad(server=server, requests=load.requests, tokens=load.tokens)
+                for server, load in self._loads.own_loads().items()
+            ],
+            known=[
+                PeerAddress(
+                    name=peer.facts.name, host=peer.address[0], port=peer.address[1]
+                )
+                for peer in known
+            ],
+        )
+
+
+def _is_live(peer: Peer, now: float) -> bool:
+    return (
+        peer.facts is not None
+        and not peer.is_leaving
+        and now - peer.heard_at <= SILENT_SECONDS
+    )
+
+
+def _facts_of(heartbeat: Heartbeat) -> NodeFacts:
+    return NodeFacts(
+        name=heartbeat.name,
+        incarnation=heartbeat.incarnation,
+        caller_address=(heartbeat.caller_host, heartbeat.caller_port),
+        data_centre=heartbeat.data_centre,
+        region=heartbeat.region,
+    )
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -0,0 +1,44 @@
+// Messages between gateways, one datagram each.
+
+struct ServerLoad {
+    1: string server
+    2: i32 requests
+    3: i32 tokens
+}
+
+struct PeerAddress {
+    1: string name
+    2: string host
+    3: i32 port
+}
+
+struct Heartbeat {
+    1: string name
+    2: i64 incarnation
+    3: i64 sequence
+    4: bool is_leaving
+    5: string caller_host
+    6: i32 caller_port
+    7: string data_centre
+    8: string region
+    9: list<ServerLoad> loads
+    10: list<PeerAddress> known
+}
+
+// What the agent beside an engine says of it to gateways. `is_open` is false
+// while the engine takes no new work; `version` is the one that is loaded.
+struct ServerNotice {
+    1: string host
+    2: i32 port
+    3: i64 incarnation
+    4: i64 sequence
+    5: bool is_open
+    6: string model
+    7: i32 version
+}
+
+// Exactly one field is set.
+struct Datagram {
+    1: optional Heartbeat heartbeat
+    2: optional ServerNotice notice
+}
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/staging/chunks.py
@@ -0,0 +1,103 @@
+"""The verified chunks of one model version, held in memory for peers."""
+
+import asyncio
+import hashlib
+from collections.abc import Sequence
+
+from attrs import define, field, frozen
+
+
+@frozen(kw_only=True)
+class WeightsManifest:
+    """SHA-256 digests of the chunks of one model version.
+
+    Examples
+    --------
+    >>> manifest = manifest_of("m", 1, [b"abc", b"de"])
+    >>> manifest.matches(1, b"de"), manifest.matches(0, b"de")
+    (True, False)
+
+    """
+
+    model: str
+    version: int
+    chunk_bytes: int
+    digests: tuple[str, ...]
+
+    @property
+    def count(self) -> int:
+        """Number of chunks."""
+        return len(self.digests)
+
+    @property
+    def key(self) -> str:
+        """What distinguishes this version from every other."""
+        return f"{self.model}/{self.version}"
+
+    def matches(self, index: int, data: bytes) -> bool:
+        """Return whether `data` is the chunk with this index."""
+        return hashlib.sha256(data).hexdigest() == self.digests[index]
+
+
+def manifest_of(model: str, version: int, chunks: Sequence[bytes]) -> WeightsManifest:
+    """Return the manifest of whole weights."""
+    return WeightsManifest(
+        model=model,
+        version=version,
+        chunk_bytes=max(len(chunk) for chunk in chunks),
+        digests=tuple(hashlib.sha256(chunk).hexdigest() for chunk in chunks),
+    )
+
+
+@define(kw_only=True, eq=False)
+class ChunkSet:
+    """Verified chunks of one version; `arrived` is set and replaced at each one.
+
+    `whole_at` is the monotonic moment at which the last chunk came.
+    """
+
+    manifest: WeightsManifest
+    whole_at: float = float("inf")
+    arrived: asyncio.Event = field(factory=asyncio.Event)
+    _chunks: dict[int, bytes] = field(factory=dict)
+
+    def add(self, index: int, data: bytes) -> bool:
+        """Keep a chunk if it matches its digest."""
+        if not self.manifest.matches(index, data):
+            return False
+        self._chunks[index] = data
+        if self.is_whole:
+            self.whole_at = min(self.whole_at, asyncio.get_running_loop().time())
+        self.arrived.set()
+        self.arrived = asyncio.Event()
+        return True
+
+    def get(self, index: int) -> bytes | None:
+        """Return a chunk, or None if it is not held."""
+        return self._chunks.get(index)
+
+    async def wait_for(self, index: int, seconds: float) -> bytes | None:
+        """Return a chunk, or None if it does not come within `seconds`."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + seconds
+        while index not in self._chunks and loop.time() < end:
+            arrived = self.arrived
+            try:
+                async with asyncio.timeout_at(end):
+                    await arrived.wait()
+            except TimeoutError:
+                break
+        return self._chunks.get(index)
+
+    @property
+    def mask(self) -> int:
+        """Bit mask of the chunks held."""
+        mask = 0
+        for index in self._chunks:
+            mask |= 1 << index
+        return mask
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every chunk is held."""
+        return len(self._chunks) == self.manifest.count
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/staging/keeper.py
@@ -0,0 +1,335 @@
+"""Keeps the engine beside this process on the version that operators named.
+
+One task fetches named versions, another stages and loads what is held whole,
+so that a version named during a load is fetched meanwhile.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+
+import structlog
+from attrs import define, field, frozen
+
+from eelgrassdale.clock import Clock
+from eelgrassdale.weights.routes import Place
+from eelgrassdale_gateway.staging.chunks import ChunkSet
+from eelgrassdale_gateway.staging.engine import (
+    Engine,
+    EngineState,
+    EngineUnavailable,
+    OrderAnswer,
+    VersionGone,
+    WeightsOrigin,
+)
+from eelgrassdale_gateway.staging.serving import ChunkClient
+from eelgrassdale_gateway.staging.transfer import Holder, Transfer
+from eelgrassdale_gateway.staging.turns import load_at, turn_of
+
+POLL_SECONDS = 0.5
+LOADING_POLL_SECONDS = 0.1
+RETRY_SECONDS = 0.3
+# Time for gateways to hear that the engine takes no new work for now.
+CLOSE_NOTICE_SECONDS = 0.03
+MANIFEST_SECONDS = 2.0
+# A transfer that is further is ended before a newer version is fetched.
+KEEP_FETCHING_SHARE = 0.5
+# Versions held in memory for each model: one to load or serve to peers, and
+# the one that is being fetched.
+MAX_SETS = 2
+
+log = structlog.get_logger(__name__)
+
+
+@frozen(kw_only=True)
+class KeeperSettings:
+    """Where this agent is, the rate of its link, and the time for a version.
+
+    `version_grace` is how long, in seconds after the naming of a version,
+    gateways still send requests to older ones.
+    """
+
+    me: Place
+    link_bytes_per_second: float = 0.0
+    version_grace: float = 6.5
+
+
+@define(kw_only=True)
+class _Named:
+    version: int
+    at: float
+
+
+@define(kw_only=True)
+class _Model:
+    """Versions of one model, oldest first, and the sets held of them."""
+
+    named: list[_Named] = field(factory=list)
+    sets: dict[int, ChunkSet] = field(factory=dict)
+
+    @property
+    def newest(self) -> int:
+        return self.named[-1].version if self.named else 0
+
+    def named_at(self, version: int) -> float:
+        return next(named.at for named in self.named if named.version == version)
+
+    def whole(self) -> ChunkSet | None:
+        whole = [version for version, held in self.sets.items() if held.is_whole]
+        return self.sets[max(whole)] if whole else None
+
+    def keep(self, chunks: ChunkSet) -> None:
+        self.sets[chunks.manifest.version] = chunks
+        for version in sorted(self.sets)[:-MAX_SETS]:
+            del self.sets[version]
+
+
+class Keeper:
+    """Fetches, stages and loads; used from the event loop's thread only.
+
+    Parameters
+    ----------
+    engine : Engine
+        The engine beside this process.
+    origin : callable
+        Returns the origin and its region, or None while none is known.
+    holders : callable
+        Returns the other agents, by name.
+    announce : callable
+        Called with whether the engine takes new work, the model and the
+        version that it holds, whenever one of these changes.
+    before_transfer : callable
+        Coroutine function that reads origin and holders anew.
+    """
+
+    def __init__(
+        self,
+        *,
+        cfg: KeeperSettings,
+        engine: Engine,
+        origin: Callable[[], tuple[WeightsOrigin, str] | None],
+        clock: Clock,
+        holders: Callable[[], Mapping[str, Holder]],
+        announce: Callable[[bool, str, int], None],
+        before_transfer: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._cfg = cfg
+        self._engine = engine
+        self._origin = origin
+        self._clock = clock
+        self._holders = holders
+        self._announce = announce
+        self._before_transfer = before_transfer
+        self._client = ChunkClient()
+        self._models: dict[str, _Model] = {}
+        self._state = EngineState()
+        self._engine_seen = False
+        self._changed = asyncio.Event()
+
+    def set_named(self, versions: Mapping[str, int]) -> None:
+        """Note the named version of each model."""
+        now = self._clock.monotonic()
+        for name, version in versions.items():
+            model = self._models.setdefault(name, _Model())
+            if version > model.newest:
+                model.named.append(_Named(version=version, at=now))
+                log.info("model version named", model=name, version=version)
+        self._notify()
+
+    def find(self, model: str, version: int) -> ChunkSet | None:
+        """Return the chunks of a version as far as they are held."""
+        held = self._models.get(model)
+        return held.sets.get(version) if held else None
+
+    async def run(self) -> None:
+        """Keep the engine on the named versions until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._repeat(self._load_step))
+            group.create_task(self._repeat(self._fetch_step))
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+        while True:
+            changed = self._changed
+            try:
+                await step()
+            except EngineUnavailable as exc:
+                log.debug("engine or origin unavailable", reason=str(exc))
+                await asyncio.sleep(RETRY_SECONDS)
+            try:
+                async with asyncio.timeout(POLL_SECONDS):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _fetch_step(self) -> None:
+        for name, model in list(self._models.items()):
+            loaded = self._state.versions.get(name, 0)
+            if not self._engine_seen or loaded >= model.newest:
+                continue
+            chunks = await self._chunk_set(name, model)
+            if chunks is not None and not chunks.is_whole:
+                await self._fetch(name, model, chunks)
+
+    async def _chunk_set(self, name: str, model: _Model) -> ChunkSet | None:
+        version = model.newest
+        if version in model.sets:
+            return model.sets[version]
+        await self._before_transfer()
+        origin = self._origin()
+        if origin is None:
+            return None
+        try:
+            async with asyncio.timeout(MANIFEST_SECONDS):
+                manifest = await origin[0].manifest(name, version)
+        except VersionGone:
+            return None
+        except TimeoutError as exc:
+            raise EngineUnavailable("no manifest in time") from exc
+        chunks = ChunkSet(manifest=manifest)
+        await self._take_staged(chunks)
+        model.keep(chunks)
+        return chunks
+
+    async def _take_staged(self, chunks: ChunkSet) -> None:
+        """Take over what the engine kept through a restart of this process."""
+        manifest = chunks.manifest
+        try:
+            staged = await self._engine.staged(manifest.model)
+            for index in sorted(staged):
+                data = await self._engine.read(manifest.model, index)
+                if data is None or not chunks.add(index, data):
+                    # Staging mostly holds another version, or is damaged.
+                    return
+        except EngineUnavailable as exc:
+            log.info("staged chunks not read", reason=str(exc))
+
+    async def _fetch(self, name: str, model: _Model, chunks: ChunkSet) -> None:
+        origin = self._origin()
+        version = chunks.manifest.version
+        begun_at = self._clock.monotonic()
+        transfer = Transfer(
+            chunks=chunks,
+            me=self._cfg.me,
+            origin=origin[0],
+            origin_region=origin[1],
+            client=self._client,
+            clock=self._clock,
+            holders=self._holders,
+            is_wanted=lambda: model.newest == version or _is_far(chunks),
+            link_bytes_per_second=self._cfg.link_bytes_per_second,
+        )
+        is_whole = await transfer.run()
+        log.info(
+            "transfer ended",
+            version=chunks.manifest.key,
+            is_whole=is_whole,
+            seconds=round(self._clock.monotonic() - begun_at, 3),
+            origin_bytes=transfer.origin_bytes,
+            peer_bytes=transfer.peer_bytes,
+        )
+        if not is_whole:
+            model.sets.pop(version, None)
+        self._notify()
+
+    async def _load_step(self) -> None:
+        self._engine_seen = False
+        state = await self._engine.state()
+        self._state = state
+        self._engine_seen = True
+        if state.is_busy:
+            return
+        for name, model in list(self._models.items()):
+            chunks = model.whole()
+            loaded = state.versions.get(name, 0)
+            if chunks is None or chunks.manifest.version <= loaded:
+                continue
+            if await self._is_my_turn(model, chunks, is_empty=not loaded):
+                await self._stage(chunks)
+                await self._load(chunks)
+
+    async def _is_my_turn(
+        self, model: _Model, chunks: ChunkSet, *, is_empty: bool
+    ) -> bool:
+        me = self._cfg.me
+        peers = [
+            name
+            for name, holder in self._holders().items()
+            if holder.place.data_centre == me.data_centre
+        ]
+        named_at = model.named_at(chunks.manifest.version)
+        at = load_at(
+            turn=turn_of(me.name, peers),
+            ready_at=chunks.whole_at,
+            binding_at=named_at + self._cfg.version_grace,
+            is_empty=is_empty,
+        )
+        wait = at - self._clock.monotonic()
+        if wait > POLL_SECONDS:
+            return False
+        await asyncio.sleep(max(0.0, wait))
+        return True
+
+    async def _stage(self, chunks: ChunkSet) -> None:
+        """Compare every staged chunk with its digest, and stage what differs."""
+        manifest = chunks.manifest
+        held = await self._engine.staged(manifest.model)
+        for index in range(manifest.count):
+            staged = None
+            if index in held:
+                staged = await self._engine.read(manifest.model, index)
+            if staged is None or not manifest.matches(index, staged):
+                await self._engine.stage(manifest.model, index, chunks.get(index))
+
+    async def _load(self, chunks: ChunkSet) -> None:
+        manifest = chunks.manifest
+        state = await self._engine.state()
+        if state.is_busy or state.versions.get(manifest.model, 0) >= manifest.version:
+            return
+        self._announce(False, manifest.model, state.versions.get(manifest.model, 0))
+        await asyncio.sleep(CLOSE_NOTICE_SECONDS)
+        try:
+            answer = await self._engine.load(
+                manifest.model, manifest.version, state.sequence
+            )
+            log.info(
+                "load ordered",
+                version=manifest.key,
+                answer=answer.value,
+                running=state.running,
+            )
+            if answer is not OrderAnswer.REFUSED:
+                await self._await_loaded(chunks)
+        finally:
+            await self._announce_state(manifest.model)
+
+    async def _await_loaded(self, chunks: ChunkSet) -> None:
+        manifest = chunks.manifest
+        begun_at = self._clock.monotonic()
+        while True:
+            state = self._state = await self._engine.state()
+            if state.versions.get(manifest.model, 0) >= manifest.version:
+                log.info(
+                    "version loaded",
+                    version=manifest.key,
+                    seconds=round(self._clock.monotonic() - begun_at, 3),
+                )
+                return
+            if not state.is_busy:
+                log.warning("load ended without the version", version=manifest.key)
+                return
+            self._announce(False, manifest.model, 0)
+            await asyncio.sleep(LOADING_POLL_SECONDS)
+
+    async def _announce_state(self, model: str) -> None:
+        try:
+            state = self._state = await self._engine.state()
+        except EngineUnavailable:
+            return
+        self._announce(not state.is_busy, model, state.versions.get(model, 0))
+
+
+def _is_far(chunks: ChunkSet) -> bool:
+    return chunks.mask.bit_count() > KEEP_FETCHING_SHARE * chunks.manifest.count
