--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -161,7 +161,8 @@
 
     def _silence(self, call: Call) -> float | None:
         """Return after which silence a backend server is given up."""
-        if not call.is_idempotent:
+        is_last = call.runs + 1 >= call.admitted.route.max_attempts
+        if is_last or not call.is_idempotent:
             return None
         if call.admitted.route.is_stream:
             return STREAM_SILENCE_SECONDS
--- a/packages/gateway/eelgrassdale_gateway/fleet.py
+++ b/packages/gateway/eelgrassdale_gateway/fleet.py
@@ -34,10 +34,10 @@
         self.servers: Mapping[str, BackendServer] = {}
         self.data_centres_out: frozenset[str] = frozenset()
         self.has_servers = False
-        self._grace = grace
+        self.grace = grace
         self._start_grace = start_grace
         self._named: dict[str, list[NamedVersion]] = {}
-        self._has_versions = False
+        self.has_versions = False
         self._listeners: list[Callable[[], None]] = []
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -90,8 +90,8 @@
         A version that is first seen with the first list was named at an
         unknown time before.
         """
-        grace = self._grace if self._has_versions else self._start_grace
-        self._has_versions = True
+        grace = self.grace if self.has_versions else self._start_grace
+        self.has_versions = True
         for model, version in versions.items():
             named = self._named.setdefault(model, [])
             if named and named[-1].version >= version:
@@ -100,6 +100,10 @@
             log.info("model version named", model=model, version=version, grace=grace)
         self._notify()
 
+    def named_versions(self) -> dict[str, int]:
+        """Return the newest named version of each model."""
+        return {model: named[-1].version for model, named in self._named.items()}
+
     def required_version(self, model: str, now: float) -> int:
         """Return the lowest version on which a request may begin; 0 for any."""
         lowest = 0
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Mapping
 
 import structlog
-from attrs import frozen
+from attrs import evolve, frozen
 
 from eelgrassdale.clock import Clock, SystemClock
 from eelgrassdale.http1 import CallerLimits, ConnectionPool, Exchange, HttpServer
@@ -106,16 +106,17 @@
         for seed in cfg.seeds:
             self.peers.introduce(seed)
         self._pool = ConnectionPool(connect_seconds=CONNECT_SECONDS)
+        self._budgets = RepeatBudgets(
+            ratio=cfg.repeat_ratio,
+            slack=cfg.repeat_slack,
+            live_nodes=self._live_nodes,
+        )
         self.forwarder = Forwarder(
             clock=self._clock,
             fleet=self.fleet,
             dispatcher=self.dispatcher,
             attempts=Attempts(clock=self._clock, pool=self._pool, names=names),
-            budgets=RepeatBudgets(
-                ratio=cfg.repeat_ratio,
-                slack=cfg.repeat_slack,
-                live_nodes=self._live_nodes,
-            ),
+            budgets=self._budgets,
             names=names,
         )
         self.server = HttpServer(handler=self._handle, limits=self._limits)
@@ -128,6 +129,26 @@
         )
         self._weights = HttpServer(handler=WeightsServer(read=self.relay.read).handle)
         self._refuses = False
+        self._prefetching: set[asyncio.Future[None]] = set()
+
+    def reconfigure(self, cfg: GatewaySettings) -> None:
+        """Take over settings that may change while the process runs.
+
+        Name, place and addresses stay as they were at the start.
+        """
+        self._budgets.ratio = cfg.repeat_ratio
+        self._budgets.slack = cfg.repeat_slack
+        self.fleet.grace = cfg.version_grace
+        for seed in cfg.seeds:
+            self.peers.introduce(seed)
+        self.cfg = evolve(
+            self.cfg,
+            repeat_ratio=cfg.repeat_ratio,
+            repeat_slack=cfg.repeat_slack,
+            version_grace=cfg.version_grace,
+            stop_seconds=cfg.stop_seconds,
+            seeds=cfg.seeds,
+        )
 
     def is_ready(self) -> bool:
         """Return whether callers should come to this node."""
@@ -141,6 +162,18 @@
         if delay is not None:
             asyncio.get_running_loop().call_later(delay, self._recheck_servers)
 
+    def name_versions(self, versions: Mapping[str, int]) -> None:
+        """Take the named version of each model, and fetch it for agents."""
+        # Versions from before the start are loaded nearly everywhere.
+        is_first = not self.fleet.has_versions
+        known = self.fleet.named_versions()
+        self.fleet.set_named_versions(versions, self._clock.monotonic())
+        for model, version in versions.items():
+            if not is_first and version > known.get(model, 0):
+                task = asyncio.ensure_future(self.relay.prefetch(model, version))
+                self._prefetching.add(task)
+                task.add_done_callback(self._prefetching.discard)
+
     def store_returned(self, outage: float) -> None:
         """Note the end of an outage of the platform's store."""
         self.servers.store_returned(outage, now=self._clock.monotonic())
--- a/packages/gateway/eelgrassdale_gateway/staging/fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/fetching.py
@@ -20,7 +20,7 @@
 # gateway; more would only share the link.
 READS = 2
 # Share of the agent's link that chunks may fill; the rest carries requests.
-LINK_SHARE = 0.92
+LINK_SHARE = 0.95
 # A gateway that failed is asked last for this time.
 SKIP_SECONDS = 3.0
 # Time for a chunk beyond that at the paced rate, in which the gateway may
--- a/packages/gateway/eelgrassdale_gateway/staging/relay.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/relay.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Collection, Sequence
 
 import structlog
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from eelgrassdale.weights.ownership import assign_owners, candidates
 from eelgrassdale_gateway.staging.chunks import ChunkSet, WeightsManifest
@@ -131,6 +131,35 @@
         # Readers that leave must not end the read for the others.
         return await asyncio.shield(read)
 
+    async def prefetch(self, model: str, version: int) -> None:
+        """Fetch the chunks that agents near here will ask this gateway for.
+
+        Agents then wait for their own link only, not for the way of each chunk
+        through other gateways.
+        """
+        whole = ChunkRequest(model=model, version=version)
+        try:
+            held = await self._version(whole)
+        except SourceUnavailable as exc:
+            log.info("version not prefetched", version=version, reason=str(exc))
+            return
+        manifest = held.chunks.manifest
+        here = {self._me.name} | {
+            place.name
+            for place in self._gateways()
+            if place.data_centre == self._me.data_centre
+        }
+        for index in range(manifest.count):
+            order = reading_order(manifest.key, manifest.count, index, here)
+            if order[0] == self._me.name:
+                await self._prefetch_one(evolve(whole, index=index))
+
+    async def _prefetch_one(self, asked: ChunkRequest) -> None:
+        try:
+            await self.read(asked)
+        except SourceUnavailable as exc:
+            log.info("chunk not prefetched", index=asked.index, reason=str(exc))
+
     async def _version(self, asked: ChunkRequest) -> _Version:
         key = (asked.model, asked.version)
         held = self._versions.get(key)
--- a/packages/gateway/eelgrassdale_gateway/store.py
+++ b/packages/gateway/eelgrassdale_gateway/store.py
@@ -85,6 +85,9 @@
         Called with all objects by name after each change.
     on_reached : callable
         Called after an outage of the store, with its length in seconds.
+    settle : float
+        Seconds between a change and the next call. Changes of kinds with many
+        writers come in bursts, which then cost one call.
     """
 
     def __init__(
@@ -95,12 +98,14 @@
         clock: Clock,
         on_change: Callable[[Mapping[str, StoredObject]], None],
         on_reached: Callable[[float], None] = lambda seconds: None,
+        settle: float = 0.0,
     ) -> None:
         self._kind = kind
         self._source = source
         self._clock = clock
         self._on_change = on_change
         self._on_reached = on_reached
+        self._settle = settle
         self._objects: dict[str, StoredObject] = {}
         self._revision: int | None = None
         self._lost_at: float | None = None
@@ -139,6 +144,7 @@
         self._revision = max(self._revision, changes.revision)
         if changes.changes:
             self._on_change(self._objects)
+            await asyncio.sleep(self._settle)
 
     def _note_reached(self) -> None:
         self._pause = FIRST_PAUSE_SECONDS
