Serve those that can be in time first, and spread work on opened engines

Cause: in overload, waiting requests went out when they were due, so nearly all came a little late; when the first engine had loaded a new version, nine gateways sent it 54 waiting requests at once; engines that were added got no weights before the next version was named.

Ruled out: the engines' capacity at 69% use; lost entries in the loads (callers that leave give theirs back).

--- a/packages/gateway/eelgrassdale_gateway/admission.py
+++ b/packages/gateway/eelgrassdale_gateway/admission.py
@@ -19,8 +19,9 @@
 class Admitted:
     """A proper request; moments are monotonic seconds.
 
-    `deadline_at` is when the caller gives up, `end_at` when the gateway ends
-    the request, by then or at the time limit of the route.
+    `output_tokens` is an estimate, 0 for none. `deadline_at` is when the
+    caller gives up, `end_at` when the gateway ends the request, by then or at
+    the time limit of the route.
     """
 
     request: Request
@@ -81,7 +82,9 @@
             account=account,
             model=request.header(names.model),
             prompt_tokens=prompt_tokens,
-            output_tokens=output_tokens,
+            output_tokens=_expected_output(
+                request.header(names.length_hint), output_tokens
+            ),
             arrived_at=now,
             deadline_at=deadline_at,
             end_at=min(deadline_at - ANSWER_MARGIN_SECONDS, now + route.timeout),
@@ -107,6 +110,20 @@
     return min(max(seconds, 0.0), MAX_DEADLINE_SECONDS)
 
 
+def _expected_output(hint: str, most: int) -> int:
+    """Return the output tokens to expect.
+
+    Examples
+    --------
+    >>> _expected_output("60", 250), _expected_output("900", 250)
+    (60, 250)
+    >>> _expected_output("", 250)
+    0
+
+    """
+    return min(int(hint), most) if hint.isdecimal() else 0
+
+
 def _token_counts(text: str) -> tuple[int, int]:
     """Return prompt and output tokens; 0 where the header says none.
 
--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -15,8 +15,14 @@
 from eelgrassdale_gateway.loads import LoadBook, Work
 from eelgrassdale_gateway.model import BackendServer, Service
 from eelgrassdale_gateway.notices import NoticeBook
-from eelgrassdale_gateway.placing import Candidate, Placement, place
-from eelgrassdale_gateway.waiting import Waiter, in_order, refusal_of
+from eelgrassdale_gateway.placing import (
+    Candidate,
+    Placement,
+    answer_seconds,
+    least_seconds,
+    place,
+)
+from eelgrassdale_gateway.waiting import Waiter, in_order, is_late, refusal_of
 
 # Waiting requests are looked at again this often without another cause.
 TICK_SECONDS = 0.02
@@ -87,6 +93,7 @@
             If no backend server takes it in time.
         """
         queued = _Queued(waiter=waiter, fut=asyncio.get_running_loop().create_future())
+        self._estimate(waiter)
         self._queues[waiter.service].append(queued)
         self._pump_service(waiter.service)
         try:
@@ -144,7 +151,7 @@
         found = self._find(waiter, now)
         if found is not None:
             queue.remove(queued)
-            work = self.loads.sent(found.server.id, tokens=waiter.tokens)
+            work = self.loads.sent(found.server.id, tokens=waiter.tokens, now=now)
             if now < found.server.cold_until:
                 self._cold_sends[found.server.id].append(now)
             queued.fut.set_result((found, work))
@@ -159,9 +166,11 @@
         service = table.services.get(waiter.service) if table else None
         if service is None:
             return None
-        servers = self._eligible(waiter, now)
-        if servers:
+        in_service = self._in_service(waiter)
+        if in_service:
+            # They may be loading weights, and back soon.
             waiter.had_candidates_at = now
+        servers = self._usable(in_service, waiter, now)
         return place(
             service=service,
             candidates=[
@@ -171,32 +180,51 @@
             ],
             tokens=waiter.tokens,
             rng=self._rng,
+            is_late=is_late(waiter, now),
         )
 
+    def _estimate(self, waiter: Waiter) -> None:
+        """Note how long the request takes at an engine without other work."""
+        table = self._fleet.table
+        service = table.services.get(waiter.service) if table else None
+        if service is not None:
+            waiter.expected = least_seconds(service, waiter.tokens)
+            waiter.duration = answer_seconds(service, waiter.output_tokens)
+
     def _candidate(self, server: BackendServer, now: float) -> Candidate:
         return Candidate(
             server=server,
-            load=self.loads.load_of(server.id, now=now),
+            load=self.loads.load_of(server.id, now=now, peers=self._live_nodes() - 1),
             is_avoided=self.health.is_avoided(server.id, now=now),
             is_near=server.data_centre == self._data_centre,
         )
 
-    def _eligible(self, waiter: Waiter, now: float) -> list[BackendServer]:
+    def _in_service(self, waiter: Waiter) -> list[BackendServer]:
+        """Return the service's backend servers that operators did not take out."""
         out = self._fleet.data_centres_out
-        lowest = 0
-        if waiter.model:
-            lowest = max(1, self._fleet.required_version(waiter.model, now))
-        servers = [
+        return [
             server
             for server in self._fleet.servers.values()
             if server.service == waiter.service
             and not server.is_leaving
             and server.data_centre not in out
             and (not waiter.regions or server.region in waiter.regions)
-            and not self.notices.is_closed(server.address, now=now)
+        ]
+
+    def _usable(
+        self, servers: list[BackendServer], waiter: Waiter, now: float
+    ) -> list[BackendServer]:
+        """Return those that take new work and hold a version that may serve."""
+        lowest = 0
+        if waiter.model:
+            lowest = max(1, self._fleet.required_version(waiter.model, now))
+        usable = [
+            server
+            for server in servers
+            if not self.notices.is_closed(server.address, now=now)
             and self._version_at(server, waiter.model, now) >= lowest
         ]
-        return [s for s in servers if s.id not in waiter.excluded] or servers
+        return [s for s in usable if s.id not in waiter.excluded] or usable
 
     def _version_at(self, server: BackendServer, model: str, now: float) -> int:
         """Return the version that a backend server holds; only ever too low."""
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -234,6 +234,7 @@
         service=admitted.service if regions is not None else "",
         model=admitted.model,
         tokens=admitted.prompt_tokens,
+        output_tokens=admitted.output_tokens,
         priority=admitted.priority,
         regions=regions or frozenset(),
         excluded=excluded,
--- a/packages/gateway/eelgrassdale_gateway/loads.py
+++ b/packages/gateway/eelgrassdale_gateway/loads.py
@@ -1,5 +1,6 @@
 """Load of backend servers, from this node's work and its peers' reports."""
 
+from collections import deque
 from collections.abc import Mapping
 
 from attrs import define, field, frozen
@@ -7,6 +8,11 @@
 # A peer's report is dropped after this time; the peer is then silent or gone,
 # and what it sent ends soon.
 REPORT_SECONDS = 1.5
+# Peers' reports do not show yet what they sent in this time.
+UNSEEN_SECONDS = 0.3
+# Share of its own recent sends that a node expects of each peer. When a server
+# opens, all nodes find it empty at once, and would fill it several times over.
+ECHO_SHARE = 0.5
 
 
 @frozen(kw_only=True)
@@ -16,6 +22,12 @@
     requests: int = 0
     tokens: int = 0
 
+    def times(self, factor: float) -> "Load":
+        """Return this load `factor` times, rounded."""
+        return Load(
+            requests=round(self.requests * factor), tokens=round(self.tokens * factor)
+        )
+
     def __add__(self, other: "Load") -> "Load":
         """Return the sum of two loads."""
         return Load(
@@ -44,19 +56,24 @@
     Examples
     --------
     >>> book = LoadBook()
-    >>> work = book.sent("s-1", tokens=900)
+    >>> work = book.sent("s-1", tokens=900, now=0.0)
     >>> book.note_report("peer", {"s-1": Load(requests=2)}, now=0.0)
-    >>> book.load_of("s-1", now=0.1)
+    >>> book.load_of("s-1", now=0.1, peers=4)
+    Load(requests=5, tokens=2700)
+    >>> book.load_of("s-1", now=0.5)
     Load(requests=3, tokens=900)
 
     """
 
     _own: dict[str, Load] = field(factory=dict)
     _reports: dict[str, _Report] = field(factory=dict)
+    _recent: dict[str, deque[tuple[float, Load]]] = field(factory=dict)
 
-    def sent(self, server: str, *, tokens: int) -> Work:
+    def sent(self, server: str, *, tokens: int, now: float) -> Work:
         """Add work that is about to be sent."""
-        self._add(server, Load(requests=1, tokens=tokens))
+        load = Load(requests=1, tokens=tokens)
+        self._add(server, load)
+        self._recent.setdefault(server, deque()).append((now, load))
         return Work(server=server, tokens=tokens)
 
     def started(self, work: Work) -> None:
@@ -81,14 +98,29 @@
         """Return the open work of this node by backend server."""
         return dict(self._own)
 
-    def load_of(self, server: str, *, now: float) -> Load:
-        """Return the work of all nodes at one backend server."""
+    def load_of(self, server: str, *, now: float, peers: int = 0) -> Load:
+        """Return the work of all nodes at one backend server.
+
+        It includes what `peers` other nodes are expected to have sent since
+        their reports, judged by what this node sent.
+        """
         total = self._own.get(server, Load())
+        total += self._recent_load(server, now).times(ECHO_SHARE * peers)
         for report in self._reports.values():
             if now - report.at <= REPORT_SECONDS and server in report.loads:
                 total += report.loads[server]
         return total
 
+    def _recent_load(self, server: str, now: float) -> Load:
+        recent = self._recent.get(server)
+        if recent is None:
+            return Load()
+        while recent and now - recent[0][0] > UNSEEN_SECONDS:
+            recent.popleft()
+        if not recent:
+            del self._recent[server]
+        return sum((load for _, load in recent), Load())
+
     def _add(self, server: str, change: Load) -> None:
         load = self._own.get(server, Load()) + change
         if load.requests <= 0:
--- a/packages/gateway/eelgrassdale_gateway/model.py
+++ b/packages/gateway/eelgrassdale_gateway/model.py
@@ -49,7 +49,8 @@
     """Speed and size of a service's model engines.
 
     `read_rate` is prompt tokens a second, `step` the seconds of one token of
-    all running requests, `stride` the steps between two events.
+    all running requests, `stride` the steps between two events, `models` the
+    names of the models that they run.
     """
 
     slots: int
@@ -58,6 +59,7 @@
     stride: int = 1
     memory_tokens: int = 0
     layers: int = 0
+    models: tuple[str, ...] = ()
 
 
 @frozen(kw_only=True)
--- a/packages/gateway/eelgrassdale_gateway/placing.py
+++ b/packages/gateway/eelgrassdale_gateway/placing.py
@@ -25,6 +25,9 @@
 # Candidates drawn at random, of which the best is taken. All gateways decide
 # on reports of the same age, and would all choose the one best server.
 CHOICES = 2
+# Share of its slots up to which a model engine is given requests that are late
+# already. The rest is for those that can still be in time.
+LATE_SLOTS_SHARE = 0.8
 # What work in another data centre must save, in seconds. Fewer gateways then
 # share a server, and the links between regions carry less.
 FAR_SECONDS = 0.08
@@ -76,14 +79,30 @@
     return running_pass + reading + event
 
 
-def has_room(service: Service, candidate: Candidate, tokens: int) -> bool:
+def least_seconds(service: Service, tokens: int) -> float:
+    """Return the time to the first event at an engine without waiting prompts."""
+    engine = service.engine
+    if engine is None:
+        return 0.0
+    return tokens / engine.read_rate + 2 * engine.step * engine.stride
+
+
+def answer_seconds(service: Service, tokens: int) -> float:
+    """Return the time from the first event to the last, without other work."""
+    return tokens * service.engine.step if service.engine is not None else 0.0
+
+
+def has_room(
+    service: Service, candidate: Candidate, tokens: int, *, is_late: bool = False
+) -> bool:
     """Return whether a backend server can take one more request now."""
     requests = candidate.load.requests
     slots = max(candidate.server.slots, 1)
     engine = service.engine
     if engine is None:
         return requests < slots * PLAIN_QUEUE_SHARE
-    if requests >= slots + EXTRA_REQUESTS:
+    limit = LATE_SLOTS_SHARE * slots if is_late else slots + EXTRA_REQUESTS
+    if requests >= limit:
         return False
     backlog = candidate.load.tokens
     return backlog == 0 or backlog + tokens <= BACKLOG_SECONDS * engine.read_rate
@@ -95,6 +114,7 @@
     candidates: Sequence[Candidate],
     tokens: int,
     rng: Random,
+    is_late: bool = False,
 ) -> Placement | None:
     """Return where a request goes, or None while no backend server has room.
 
@@ -102,7 +122,7 @@
     wins. Avoided ones are taken only when there are no others, busy or not.
     """
     trusted = [c for c in candidates if not c.is_avoided] or list(candidates)
-    free = [c for c in trusted if has_room(service, c, tokens)]
+    free = [c for c in trusted if has_room(service, c, tokens, is_late=is_late)]
     if not free:
         return None
     near = [c for c in free if c.is_near]
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -129,7 +129,7 @@
         )
         self._weights = HttpServer(handler=WeightsServer(read=self.relay.read).handle)
         self._refuses = False
-        self._prefetching: set[asyncio.Future[None]] = set()
+        self._prefetching: dict[str, asyncio.Future[None]] = {}
 
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Take over settings that may change while the process runs.
@@ -170,9 +170,15 @@
         self.fleet.set_named_versions(versions, self._clock.monotonic())
         for model, version in versions.items():
             if not is_first and version > known.get(model, 0):
-                task = asyncio.ensure_future(self.relay.prefetch(model, version))
-                self._prefetching.add(task)
-                task.add_done_callback(self._prefetching.discard)
+                self._prefetch(model, version)
+
+    def _prefetch(self, model: str, version: int) -> None:
+        before = self._prefetching.get(model)
+        if before is not None:
+            before.cancel()
+        self._prefetching[model] = asyncio.ensure_future(
+            self.relay.prefetch(model, version)
+        )
 
     def store_returned(self, outage: float) -> None:
         """Note the end of an outage of the platform's store."""
--- a/packages/gateway/eelgrassdale_gateway/staging/relay.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/relay.py
@@ -29,6 +29,7 @@
 GATEWAY_SECONDS = 5.0
 ATTEMPTS = 3
 PAUSE_SECONDS = 0.15
+PREFETCH_PAUSE_SECONDS = 0.3
 # Damaged copies of one chunk after which the digests themselves are in doubt.
 DOUBT_AFTER = 3
 # Versions kept: the newest, and the one before it while agents change over.
@@ -135,30 +136,38 @@
         """Fetch the chunks that agents near here will ask this gateway for.
 
         Agents then wait for their own link only, not for the way of each chunk
-        through other gateways.
+        through other gateways. Ends only with the last chunk; the caller
+        cancels it for a version that is no longer wanted.
         """
         whole = ChunkRequest(model=model, version=version)
-        try:
-            held = await self._version(whole)
-        except SourceUnavailable as exc:
-            log.info("version not prefetched", version=version, reason=str(exc))
-            return
-        manifest = held.chunks.manifest
+        for index in await self._owned(whole):
+            while not await self._try_prefetch(evolve(whole, index=index)):
+                await asyncio.sleep(PREFETCH_PAUSE_SECONDS)
+
+    async def _owned(self, whole: ChunkRequest) -> list[int]:
+        """Return the chunks that agents near here ask this gateway for first."""
+        while not await self._try_prefetch(whole):
+            await asyncio.sleep(PREFETCH_PAUSE_SECONDS)
+        manifest = (await self._version(whole)).chunks.manifest
         here = {self._me.name} | {
             place.name
             for place in self._gateways()
             if place.data_centre == self._me.data_centre
         }
-        for index in range(manifest.count):
-            order = reading_order(manifest.key, manifest.count, index, here)
-            if order[0] == self._me.name:
-                await self._prefetch_one(evolve(whole, index=index))
-
-    async def _prefetch_one(self, asked: ChunkRequest) -> None:
+        return [
+            index
+            for index in range(manifest.count)
+            if reading_order(manifest.key, manifest.count, index, here)[0]
+            == self._me.name
+        ]
+
+    async def _try_prefetch(self, asked: ChunkRequest) -> bool:
         try:
             await self.read(asked)
         except SourceUnavailable as exc:
-            log.info("chunk not prefetched", index=asked.index, reason=str(exc))
+            log.info("not prefetched", index=asked.index, reason=str(exc))
+            return False
+        return True
 
     async def _version(self, asked: ChunkRequest) -> _Version:
         key = (asked.model, asked.version)
--- a/packages/gateway/eelgrassdale_gateway/tests/lab.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/lab.py
@@ -34,6 +34,7 @@
     expected_server="t-server",
     model="t-model",
     token_counts="t-tokens",
+    length_hint="t-length",
     last_event="t-last-event",
 )
 ENGINE = EngineProfile(slots=4, read_rate=20_000.0, step=0.01, stride=5)
--- a/packages/gateway/eelgrassdale_gateway/tests/test_waiting.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_waiting.py
@@ -36,3 +36,11 @@
 
 def test_request_is_refused_at_its_end_at_the_latest():
     assert refusal_of(waiter(objective=10.0), 6.0) is ResultCode.SERVER_BUSY
+
+
+def test_request_whose_answer_cannot_end_in_time_is_refused_at_once():
+    """Broken-off answers took places from requests that could be served."""
+    short = waiter(deadline=1.0)
+    short.expected = 0.2
+    short.duration = 0.9
+    assert refusal_of(short, 0.0) is ResultCode.SERVER_BUSY
--- a/packages/gateway/eelgrassdale_gateway/waiting.py
+++ b/packages/gateway/eelgrassdale_gateway/waiting.py
@@ -17,8 +17,9 @@
 LATE_WAIT_SHARE = 0.4
 # Longest wait while no backend server of the service is listed at all.
 NO_SERVER_SECONDS = 0.4
-# A backend server needs at least this long for a request.
-LEAST_WORK_SECONDS = 0.05
+# Added to the expected time to the first event: the way of the answer, and
+# passes of an engine that take longer than expected.
+MARGIN_SECONDS = 0.05
 # Callers that were refused return after this share of their remaining time,
 # the longest pause that they heed.
 RETURN_SHARE = 0.33
@@ -30,18 +31,23 @@
     """One waiting request; moments are monotonic seconds.
 
     `objective_at` is when its first event is due, `end_at` when its caller
-    or its route gives up.
+    or its route gives up. `expected` and `duration` are the seconds to its
+    first event and from there to its last at an engine without other work.
+    `had_candidates_at` is when a backend server of the service was last listed.
     """
 
     service: str
     model: str = ""
     tokens: int = 0
+    output_tokens: int = 0
     priority: int = 0
     regions: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
     arrived_at: float
     objective_at: float
     end_at: float
+    expected: float = 0.0
+    duration: float = 0.0
     had_candidates_at: float = field(default=float("-inf"))
 
 
@@ -72,12 +78,13 @@
 
 def is_late(waiter: Waiter, now: float) -> bool:
     """Return whether a request can no longer meet its objective."""
-    return now + LEAST_WORK_SECONDS > waiter.objective_at
+    return now + waiter.expected + MARGIN_SECONDS > waiter.objective_at
 
 
 def refusal_of(waiter: Waiter, now: float) -> ResultCode | None:
     """Return why a waiting request is refused now, or None."""
-    if now >= waiter.end_at:
+    if now + waiter.expected + waiter.duration >= waiter.end_at:
+        # Its answer could only be broken off.
         return ResultCode.SERVER_BUSY
     last_seen = max(waiter.had_candidates_at, waiter.arrived_at)
     if now - last_seen > NO_SERVER_SECONDS:
--- a/packages/gateway/eelgrassdale_gateway/wirenames.py
+++ b/packages/gateway/eelgrassdale_gateway/wirenames.py
@@ -38,5 +38,8 @@
     token_counts: str
     """Prompt tokens and most output tokens of a generation."""
 
+    length_hint: str
+    """A caller's estimate of the output tokens, often far off."""
+
     last_event: str
     """Id of the last event that a caller has of a resumed stream."""
