Write a line for each decision on a request, and serve metrics

Cause: a failed request could not be explained from logs, and logs could block or grow without bound.

Change: events of placing, failed attempts, refused repeats, callers that left and ends, each with the request's id and what decided it; a rate limit for each kind of event that counts what it drops; a writer thread with a bounded queue; counters and histograms on the metrics address. Agents read the digests of a version beside a transfer, so that a version is finished while the origin does not give the next.

--- a/packages/core/eelgrassdale/http1/server.py
+++ b/packages/core/eelgrassdale/http1/server.py
@@ -147,6 +147,10 @@
         except (OSError, TimeoutError) as exc:
             # Callers come and go; what matters was logged by the handler.
             log.debug("caller connection failed", error=repr(exc))
+        except asyncio.CancelledError:
+            # The process ends. asyncio reports a cancelled connection task as
+            # an error of its own.
+            log.debug("caller connection ended with the process")
         finally:
             self._connections.discard(conn)
             conn.abort()
--- /dev/null
+++ b/packages/core/eelgrassdale/tests/test_logs.py
@@ -0,0 +1,66 @@
+"""Tests that logs stay bounded and block nothing."""
+
+import io
+import os
+import threading
+import time
+
+import pytest
+import structlog
+
+from eelgrassdale.logs import BoundedWriter, RateLimit
+
+
+def test_writer_does_not_wait_for_a_full_pipe():
+    """A reader that stops must not stop the requests."""
+    read_end, write_end = os.pipe()
+    with os.fdopen(write_end, "w") as pipe:
+        writer = BoundedWriter(file=pipe, limit=100)
+        begun_at = time.monotonic()
+        for number in range(20_000):
+            writer.write(f"{number:0100d}\n")
+        seconds = time.monotonic() - begun_at
+        drain = threading.Thread(target=_read_all, args=(read_end,), daemon=True)
+        drain.start()
+        writer.close(seconds=5)
+    drain.join(5)
+    assert seconds < 5
+    assert not drain.is_alive()
+
+
+def _read_all(end):
+    while os.read(end, 65_536):
+        pass
+    os.close(end)
+
+
+def test_lost_lines_are_counted():
+    file = io.StringIO()
+    writer = BoundedWriter(file=file, limit=2)
+    with writer._lock:
+        writer._lines.extend(["a\n", "b\n"])
+    writer.write("c\n")
+    writer.close(seconds=5)
+    assert '"lines": 1' in file.getvalue()
+    assert file.getvalue().startswith("b\nc\n")
+
+
+def test_frequent_events_are_dropped_and_others_kept():
+    now = [0.0]
+    limit = RateLimit(burst=3.0, rate=1.0, clock=lambda: now[0])
+    kept = []
+    for _ in range(10):
+        try:
+            kept.append(limit(None, "info", {"event": "sent"}))
+        except structlog.DropEvent:
+            continue
+    assert len(kept) == 3
+    assert limit(None, "info", {"event": "ended"})["dropped"] == {"sent": 7}
+    now[0] = 2.0
+    assert limit(None, "info", {"event": "sent"}) == {"event": "sent"}
+
+
+@pytest.mark.parametrize("method", ["warning", "error"])
+def test_warnings_are_never_dropped(method):
+    limit = RateLimit(burst=0.0, rate=0.0)
+    assert limit(None, method, {"event": "store lost"})["event"] == "store lost"
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -4,19 +4,19 @@
 import json
 from random import Random
 
-import structlog
-
 from eelgrassdale.clock import Clock
 from eelgrassdale.http1 import Exchange
 from eelgrassdale.results import ResultCode, ResultError, verdict_of
-from eelgrassdale_gateway.admission import Admitted, admit
+from eelgrassdale_gateway.admission import admit
 from eelgrassdale_gateway.attempts import Attempts, Call, answer_headers
 from eelgrassdale_gateway.dispatcher import Dispatcher, Refused
+from eelgrassdale_gateway.events import RequestEvents
 from eelgrassdale_gateway.fleet import Fleet
+from eelgrassdale_gateway.loads import Work
 from eelgrassdale_gateway.model import BackendServer
 from eelgrassdale_gateway.outcomes import Answered, Lost, NotRun, Outcome, Relayed
 from eelgrassdale_gateway.repeats import RepeatBudgets
-from eelgrassdale_gateway.waiting import Waiter, return_seconds
+from eelgrassdale_gateway.waiting import Waiter, is_late, return_seconds
 from eelgrassdale_gateway.wirenames import WireNames
 
 # Backend servers asked for one request when each refuses it.
@@ -24,8 +24,6 @@
 # Statuses that tell a caller that a request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
-log = structlog.get_logger(__name__)
-
 
 class Forwarder:
     """Handles the exchanges of a gateway's callers."""
@@ -39,8 +37,10 @@
         attempts: Attempts,
         budgets: RepeatBudgets,
         names: WireNames,
+        events: RequestEvents,
         seed: int | None = None,
     ) -> None:
+        self._events = events
         self._clock = clock
         self._fleet = fleet
         self._dispatcher = dispatcher
@@ -71,6 +71,13 @@
                 await self._run(call)
         except TimeoutError:
             await self._out_of_time(call)
+        except (asyncio.CancelledError, ConnectionError):
+            self._events.caller_left(
+                request=call.admitted.request_id,
+                service=call.admitted.service,
+                seconds=self._clock.monotonic() - call.admitted.arrived_at,
+            )
+            raise
 
     async def refuse_leaving(self, exchange: Exchange) -> None:
         """Refuse a request because this node stops."""
@@ -86,6 +93,7 @@
                 await self._give_up(call, exc.code, answer)
                 return
             if isinstance(outcome, Relayed):
+                self._log_end(call, ResultCode.OK)
                 return
             if isinstance(outcome, Answered):
                 answer = outcome
@@ -100,17 +108,23 @@
     async def _attempt(
         self, call: Call, excluded: frozenset[str]
     ) -> tuple[Outcome, BackendServer]:
-        placement, work = await self._dispatcher.place(_waiter(call, excluded))
+        waiter = _waiter(call, excluded)
+        placement, work = await self._dispatcher.place(waiter)
         server = placement.server
-        log.debug(
-            "sent",
-            request=call.admitted.request_id,
-            server=server.id,
-            expected=round(placement.expected, 3),
+        admitted = call.admitted
+        now = self._clock.monotonic()
+        self._events.placed(
+            request=admitted.request_id,
+            service=admitted.service,
+            server=server,
+            expected=placement.expected,
+            waited=now - admitted.arrived_at,
+            late=is_late(waiter, now),
+            table_version=self._fleet.table.version,
         )
         try:
             outcome = await self._attempts.make(
-                call, server, lambda: self._dispatcher.started(work)
+                call, server, lambda: self._began(call, work)
             )
         finally:
             self._dispatcher.ended(work)
@@ -119,10 +133,18 @@
         self._judge(call, server, outcome)
         return outcome, server
 
+    def _began(self, call: Call, work: Work) -> None:
+        self._dispatcher.started(work)
+        self._events.began(
+            service=call.admitted.service,
+            seconds=self._clock.monotonic() - call.admitted.arrived_at,
+        )
+
     def _judge(self, call: Call, server: BackendServer, outcome: Outcome) -> None:
         """Note what an outcome tells of the backend server."""
         health = self._dispatcher.health
         now = self._clock.monotonic()
+        is_failure = True
         match outcome:
             case NotRun(was_sent=False):
                 health.unreachable(server.id, now=now)
@@ -134,43 +156,40 @@
                 health.failed(server.id, now=now, is_answer=True)
             case _:
                 health.succeeded(server.id)
-                return
-        log.info(
-            "attempt failed",
+                is_failure = False
+        self._events.attempt_ended(
             request=call.admitted.request_id,
-            server=server.id,
-            outcome=type(outcome).__name__,
-            reason=getattr(outcome, "reason", "") or outcome.head.status,
-            attempt=call.sends,
+            service=call.admitted.service,
+            server=server,
+            outcome=outcome,
+            number=call.sends,
+            is_failure=is_failure,
         )
 
     def _is_worth_repeating(self, call: Call, answer: Answered) -> bool:
         return answer.head.status >= 500 and call.is_idempotent
 
     def _may_repeat(self, call: Call, outcome: Outcome) -> bool:
-        if isinstance(outcome, NotRun):
-            if not outcome.was_sent:
-                return True
-            if call.sends >= MAX_SENDS:
-                return False
-        else:
-            if not call.is_idempotent:
-                return False
-            if call.runs >= call.admitted.route.max_attempts:
-                return False
-            if call.exchange.is_started and not call.admitted.route.is_resumable:
-                return False
-        return self._budgets.take(call.admitted.service)
+        if isinstance(outcome, NotRun) and not outcome.was_sent:
+            return True
+        reason = _reason_against(call, outcome)
+        if not reason and not self._budgets.take(call.admitted.service):
+            reason = "budget of repeats used up"
+        if reason:
+            self._events.repeat_refused(request=call.admitted.request_id, reason=reason)
+        return not reason
 
     async def _pass_on(self, call: Call, answer: Answered) -> None:
         status = answer.head.status
         if status in NOT_RUN_STATUSES and not call.is_idempotent:
             # Without the mark of a refusal the request may have run.
-            await self._fail(call.exchange, ResultCode.BACKEND_FAILED)
+            await self._fail(call.exchange, ResultCode.BACKEND_FAILED, call)
             return
         if call.exchange.is_started:
+            self._log_end(call, ResultCode.ANSWER_TRUNCATED)
             call.exchange.abort()
             return
+        self._log_end(call, ResultCode.OK, status=status)
         await call.exchange.respond(status, answer_headers(answer.head), answer.body)
 
     async def _give_up(
@@ -200,7 +219,14 @@
         self, exchange: Exchange, code: ResultCode, call: Call | None = None
     ) -> None:
         """Answer with an error of this node."""
-        self._log_end(call, code, exchange)
+        if call is None:
+            self._events.ended(
+                request=exchange.request.header(self._names.request_id),
+                service="",
+                code=code,
+            )
+        else:
+            self._log_end(call, code)
         status = verdict_of(code).http_status
         headers = [("content-type", "application/json")]
         request_id = exchange.request.header(self._names.request_id)
@@ -216,15 +242,20 @@
         end_at = call.admitted.end_at if call else now
         return return_seconds(now=now, end_at=end_at)
 
-    def _log_end(
-        self, call: Call | None, code: ResultCode, exchange: Exchange | None = None
-    ) -> None:
-        fields: dict[str, object] = {"code": code.name}
-        if call is not None:
-            fields |= _fields(call, self._clock.monotonic())
-        elif exchange is not None:
-            fields["request"] = exchange.request.header(self._names.request_id)
-        log.info("request ended without an answer", **fields)
+    def _log_end(self, call: Call, code: ResultCode, **fields: object) -> None:
+        admitted = call.admitted
+        seconds = self._clock.monotonic() - admitted.arrived_at
+        self._events.ended(
+            request=admitted.request_id,
+            service=admitted.service,
+            code=code,
+            route=admitted.route.name,
+            seconds=round(seconds, 3),
+            allowed=round(admitted.end_at - admitted.arrived_at, 3),
+            sends=call.sends,
+            events=call.last_event,
+            **fields,
+        )
 
 
 def _waiter(call: Call, excluded: frozenset[str]) -> Waiter:
@@ -244,19 +275,20 @@
     )
 
 
+def _reason_against(call: Call, outcome: Outcome) -> str:
+    """Return why a failed attempt may not be followed by another, or nothing."""
+    if isinstance(outcome, NotRun):
+        return "" if call.sends < MAX_SENDS else "refused too often"
+    if not call.is_idempotent:
+        return "may have run"
+    if call.runs >= call.admitted.route.max_attempts:
+        return "ran as often as its route allows"
+    if call.exchange.is_started and not call.admitted.route.is_resumable:
+        return "answer has begun"
+    return ""
+
+
 def _code_of(outcome: Outcome) -> ResultCode:
     if isinstance(outcome, NotRun):
         return ResultCode.SERVER_BUSY
     return ResultCode.BACKEND_FAILED
-
-
-def _fields(call: Call, now: float) -> dict[str, object]:
-    admitted: Admitted = call.admitted
-    return {
-        "request": admitted.request_id,
-        "service": admitted.service,
-        "route": admitted.route.name,
-        "waited": round(now - admitted.arrived_at, 3),
-        "sends": call.sends,
-        "events": call.last_event,
-    }
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -12,6 +12,7 @@
 from eelgrassdale.http1 import CallerLimits, ConnectionPool, Exchange, HttpServer
 from eelgrassdale_gateway.attempts import Attempts
 from eelgrassdale_gateway.dispatcher import Dispatcher
+from eelgrassdale_gateway.events import RequestEvents
 from eelgrassdale_gateway.fleet import Fleet
 from eelgrassdale_gateway.forwarding import Forwarder
 from eelgrassdale_gateway.model import BackendServer
@@ -106,6 +107,15 @@
         for seed in cfg.seeds:
             self.peers.introduce(seed)
         self._pool = ConnectionPool(connect_seconds=CONNECT_SECONDS)
+        self.events = RequestEvents()
+        self.events.gauge(
+            "waiting_requests",
+            "Requests that wait for a backend server.",
+            self.dispatcher.waiting,
+        )
+        self.events.gauge(
+            "live_gateways", "Live gateways, this one included.", self._live_nodes
+        )
         self._budgets = RepeatBudgets(
             ratio=cfg.repeat_ratio,
             slack=cfg.repeat_slack,
@@ -118,6 +128,7 @@
             attempts=Attempts(clock=self._clock, pool=self._pool, names=names),
             budgets=self._budgets,
             names=names,
+            events=self.events,
         )
         self.server = HttpServer(handler=self._handle, limits=self._limits)
         self.relay = ChunkRelay(
--- a/packages/gateway/eelgrassdale_gateway/staging/keeper.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/keeper.py
@@ -1,7 +1,8 @@
 """Keeps the engine beside this process on the version that operators named.
 
-One task fetches named versions, another stages and loads what is held whole,
-so that a version named during a load is fetched meanwhile.
+One task reads the digests of named versions, another fetches their chunks, and
+a third stages and loads what is held whole, so that a version named during a
+transfer or a load waits for neither.
 """
 
 import asyncio
@@ -76,16 +77,24 @@
     def is_wanted(self, chunks: ChunkSet) -> bool:
         """Return whether a version is worth fetching.
 
-        The one before the newest is, once most of it is there. Origins drop
-        older ones.
+        An older one is, while the origin does not give the newest, or once
+        most of it is there.
         """
         version = chunks.manifest.version
-        if version == self.newest:
+        if version == self.newest or self.newest not in self.sets:
             return True
         if len(self.named) < 2 or version != self.named[-2].version:
             return False
         return chunks.count > KEEP_FETCHING_SHARE * chunks.manifest.count
 
+    def next_to_fetch(self, loaded: int) -> ChunkSet | None:
+        """Return the oldest set that is missing chunks and still wanted."""
+        for version in sorted(self.sets):
+            chunks = self.sets[version]
+            if version > loaded and not chunks.is_whole and self.is_wanted(chunks):
+                return chunks
+        return None
+
     def keep(self, chunks: ChunkSet) -> None:
         self.sets[chunks.manifest.version] = chunks
         for version in sorted(self.sets)[:-MAX_SETS]:
@@ -152,6 +161,7 @@
         """Keep the engine on the named versions until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._repeat(self._load_step))
+            group.create_task(self._repeat(self._manifest_step))
             group.create_task(self._repeat(self._fetch_step))
 
     def _notify(self) -> None:
@@ -172,25 +182,26 @@
             except TimeoutError:
                 continue
 
-    async def _fetch_step(self) -> None:
+    async def _manifest_step(self) -> None:
         for name, model in list(self._models.items()):
-            loaded = self._state.versions.get(name, 0)
-            if not self._engine_seen or loaded >= model.newest:
+            if not self._needs(name, model) or model.newest in model.sets:
                 continue
-            chunks = await self._chunk_set(name, model)
-            if chunks is not None and not chunks.is_whole:
+            await self._before_transfer()
+            manifest = await self._fetcher.manifest(name, model.newest)
+            chunks = ChunkSet(manifest=manifest)
+            await self._take_staged(chunks)
+            model.keep(chunks)
+            self._notify()
+
+    async def _fetch_step(self) -> None:
+        for name, model in list(self._models.items()):
+            chunks = model.next_to_fetch(self._state.versions.get(name, 0))
+            if chunks is not None and self._needs(name, model):
                 await self._fetch(model, chunks)
 
-    async def _chunk_set(self, name: str, model: _Model) -> ChunkSet | None:
-        version = model.newest
-        if version in model.sets:
-            return model.sets[version]
-        await self._before_transfer()
-        manifest = await self._fetcher.manifest(name, version)
-        chunks = ChunkSet(manifest=manifest)
-        await self._take_staged(chunks)
-        model.keep(chunks)
-        return chunks
+    def _needs(self, name: str, model: _Model) -> bool:
+        loaded = self._state.versions.get(name, 0)
+        return self._engine_seen and loaded < model.newest
 
     async def _take_staged(self, chunks: ChunkSet) -> None:
         """Take over what the engine kept through a restart of this process."""
@@ -220,13 +231,16 @@
             is_whole=is_whole,
             seconds=round(self._clock.monotonic() - begun_at, 3),
         )
-        if not is_whole:
-            model.sets.pop(version, None)
+        if not is_whole and model.sets.get(version) is chunks:
+            del model.sets[version]
         self._notify()
 
     async def _load_step(self) -> None:
-        self._engine_seen = False
-        state = await self._engine.state()
+        try:
+            state = await self._engine.state()
+        except EngineUnavailable:
+            self._engine_seen = False
+            raise
         self._state = state
         self._engine_seen = True
         if state.is_busy:
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/test_keeper.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/test_keeper.py
@@ -154,3 +154,21 @@
 def test_no_engine_waits_beyond_the_time_when_its_version_may_serve():
     assert load_at(turn=1, ready_at=8.0, binding_at=6.5, is_empty=False) == 8.0
     assert load_at(turn=1, ready_at=5.5, binding_at=6.5, is_empty=False) == 6.5
+
+
+def test_version_is_finished_while_the_origin_does_not_give_the_next():
+    """An origin went down between two namings, and agents dropped the first."""
+
+    async def scene(farm):
+        farm.origin.delay = 0.01
+        farm.name_version(2)
+        while farm.origin.reads < COUNT:
+            await asyncio.sleep(0.002)
+        farm.origin.is_down = True
+        farm.name_version(3)
+        await farm.wait_for(2)
+        farm.origin.is_down = False
+        await farm.wait_for(3)
+        return all_loads_right(farm)
+
+    assert play(scene)
--- a/packages/gateway/eelgrassdale_gateway/tests/lab.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/lab.py
@@ -9,6 +9,7 @@
 from eelgrassdale.http1 import ConnectionPool, HttpServer, Request, connect
 from eelgrassdale_gateway.attempts import Attempts
 from eelgrassdale_gateway.dispatcher import Dispatcher
+from eelgrassdale_gateway.events import RequestEvents
 from eelgrassdale_gateway.fleet import Fleet
 from eelgrassdale_gateway.forwarding import Forwarder
 from eelgrassdale_gateway.model import (
@@ -198,6 +199,7 @@
             ),
             budgets=RepeatBudgets(ratio=0.2, slack=40.0, live_nodes=lambda: 1),
             names=NAMES,
+            events=RequestEvents(),
             seed=1,
         )
         self.server = HttpServer(handler=self.forwarder.handle)
