Explain a request from logs, and document the platform for operators

Cause: an engineer on call had no way from a request's id to its cause.

Change: eelgrassdale explain; docs/OPERATIONS.md (moved from operations.md) with events, metrics and three failed requests as printed; glossary, dependencies and README.

--- a/packages/agent/eelgrassdale_agent/metrics.py
+++ b/packages/agent/eelgrassdale_agent/metrics.py
@@ -1,4 +1,4 @@
-"""Names of the agent's metrics, with units; `docs/operations.md` lists them."""
+"""Names of the agent's metrics, with units; `docs/OPERATIONS.md` lists them."""
 
 REQUESTS_ADMITTED = "requests_admitted"
 REQUESTS_REFUSED = "requests_refused"
--- a/packages/entry/eelgrassdale_entry/cli.py
+++ b/packages/entry/eelgrassdale_entry/cli.py
@@ -4,6 +4,7 @@
 
 from eelgrassdale import __version__
 from eelgrassdale_entry.commands.config import config
+from eelgrassdale_entry.commands.explain import explain
 from eelgrassdale_entry.commands.model import model
 from eelgrassdale_entry.commands.serve import serve
 from eelgrassdale_entry.commands.trace import trace
@@ -20,6 +21,7 @@
 
 
 main.add_command(config)
+main.add_command(explain)
 main.add_command(model)
 main.add_command(serve)
 main.add_command(trace)
