Read a kind anew after any failure of its watch

The store cut all watches, dropped its history and went on. front-xela-a-1 had started its watch of the configuration again at the old revision just before the drop, heard nothing for 5 s, and refused a new route with 404, 4.1 s after its version was acknowledged.

Ruled out: the configuration being rejected (taken at once when read); the backoff (0.1 s).

Change: a failed watch is followed by a whole list. Heartbeats carry the configuration's version; a gateway that is behind its peers reads all kinds anew within half a second. Reads of the relay that fail after all their readers left are no longer reported as unhandled.

--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -62,6 +62,7 @@
     heard_at: float = float("-inf")
     known_since: float = 0.0
     is_leaving: bool = False
+    configuration: int = 0
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -76,9 +77,11 @@
         loads: LoadBook,
         notices: NoticeBook,
         on_change: Callable[[], None],
+        configuration: Callable[[], int] = lambda: 0,
         seed: int | None = None,
     ) -> None:
         self.me = me
+        self._configuration = configuration
         self.is_leaving = False
         self._clock = clock
         self._address = address
@@ -129,6 +132,10 @@
         """Return the number of live gateways, this one included."""
         return 1 + len(self.live())
 
+    def newest_configuration(self) -> int:
+        """Return the highest configuration version of the live peers, or 0."""
+        return max((peer.configuration for peer in self.live()), default=0)
+
     def send_heartbeats(self) -> None:
         """Send one heartbeat to each peer."""
         if self._transport is None:
@@ -183,6 +190,7 @@
         peer.sequence = heartbeat.sequence
         peer.heard_at = now
         peer.is_leaving = heartbeat.is_leaving
+        peer.configuration = heartbeat.configuration or 0
         loads = {
             load.server: Load(requests=load.requests, tokens=load.tokens)
             for load in heartbeat.loads
@@ -227,6 +235,7 @@
                 )
                 for peer in known
             ],
+            configuration=self._configuration(),
         )
 
 
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -23,6 +23,7 @@
     8: string region
     9: list<ServerLoad> loads
     10: list<PeerAddress> known
+    11: i64 configuration
 }
 
 // What the agent beside an engine says of it to gateways. `is_open` is false
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -75,10 +75,12 @@
         cfg: GatewaySettings,
         names: WireNames,
         new_origin: Callable[[Address], WeightsOrigin],
+        on_behind: Callable[[], None] = lambda: None,
         clock: Clock | None = None,
     ) -> None:
         self.cfg = cfg
         self._new_origin = new_origin
+        self._on_behind = on_behind
         self._origin: tuple[Address, OriginFacts] | None = None
         self.is_stopping = False
         self._clock = clock or SystemClock()
@@ -103,6 +105,7 @@
             loads=self.dispatcher.loads,
             notices=self.dispatcher.notices,
             on_change=self.dispatcher.pump,
+            configuration=self._configuration_version,
         )
         for seed in cfg.seeds:
             self.peers.introduce(seed)
@@ -260,6 +263,9 @@
             self._origin = (found.address, facts)
         return self._origin[1]
 
+    def _configuration_version(self) -> int:
+        return self.fleet.table.version if self.fleet.table else 0
+
     def _recheck_servers(self) -> None:
         self._set_servers(self.servers.current(now=self._clock.monotonic()))
 
@@ -271,6 +277,9 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._pool.drop_unused()
+            if self.peers.newest_configuration() > self._configuration_version():
+                # Half a second is longer than any watch takes to tell of it.
+                self._on_behind()
 
 
 def _place_of(facts: NodeFacts, address: Address) -> GatewayPlace:
--- a/packages/gateway/eelgrassdale_gateway/staging/relay.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/relay.py
@@ -128,7 +128,7 @@
         if read is None:
             read = asyncio.ensure_future(self._fetch(held, asked))
             held.reads[asked.index] = read
-            read.add_done_callback(lambda _: held.reads.pop(asked.index, None))
+            read.add_done_callback(lambda done: _forget(held.reads, asked.index, done))
         # Readers that leave must not end the read for the others.
         return await asyncio.shield(read)
 
@@ -178,7 +178,7 @@
         if reading is None:
             reading = asyncio.ensure_future(self._read_manifest(asked))
             self._manifests[key] = reading
-            reading.add_done_callback(lambda _: self._manifests.pop(key, None))
+            reading.add_done_callback(lambda done: _forget(self._manifests, key, done))
         manifest = await asyncio.shield(reading)
         held = self._versions.get(key)
         if held is None:
@@ -291,3 +291,10 @@
         if facts is None:
             raise SourceUnavailable("no origin is configured")
         return facts
+
+
+def _forget(reads: dict, key: object, done: "asyncio.Task") -> None:
+    """Drop a read that ended; its readers may all have left before it failed."""
+    reads.pop(key, None)
+    if not done.cancelled():
+        done.exception()
--- a/packages/gateway/eelgrassdale_gateway/store.py
+++ b/packages/gateway/eelgrassdale_gateway/store.py
@@ -110,6 +110,7 @@
         self._revision: int | None = None
         self._lost_at: float | None = None
         self._pause = FIRST_PAUSE_SECONDS
+        self._stale = asyncio.Event()
         # Backoff needs no reproducible randomness.
         self._rng = Random()
 
@@ -117,13 +118,35 @@
         """Follow the kind until cancelled."""
         while True:
             try:
-                await self._step()
+                await self._step_or_refresh()
             except HistoryGone:
                 log.info("store history gone", kind=self._kind, at=self._revision)
                 self._revision = None
             except StoreUnavailable as exc:
+                # A watch that starts again at an old revision may wait for
+                # changes that the store has just dropped from its history.
+                self._revision = None
                 await self._wait_after(exc)
 
+    def refresh(self) -> None:
+        """Read the whole kind anew, because others know more."""
+        self._stale.set()
+
+    async def _step_or_refresh(self) -> None:
+        step = asyncio.ensure_future(self._step())
+        stale = asyncio.ensure_future(self._stale.wait())
+        try:
+            await asyncio.wait((step, stale), return_when=asyncio.FIRST_COMPLETED)
+            if step.done():
+                step.result()
+                return
+            log.info("store read anew", kind=self._kind, at=self._revision)
+            self._revision = None
+        finally:
+            self._stale.clear()
+            step.cancel()
+            stale.cancel()
+
     async def _step(self) -> None:
         if self._revision is None:
             listing = await self._source.list(self._kind)
