Divide bounds among gateways heard of lately, silent ones too

Cause: repeats and the cold rate were divided by the live gateways that a node hears. A node cut off from all others took itself for the only one, and with 46 gateways each sent a cold server one request a second, however small its share (46 a second against a bound of 30.5 at a rate of 17).

Ruled out: dividing by the entries of gateways in the store, which nothing removes when a VM is replaced; one node that grants permits, since none is set aside for control.

Change: Peers.sharers counts peers until they are forgotten (30 s), and 9 for a node that just started and heard of nobody. shares.share_of_rate gives a rate below one unit a node to as many nodes as it has units, chosen by the server's id.

Before: test_cold_server (46 and 330 gateways) and test_nodes_that_are_cut_off fail with the old rule.

--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -22,6 +22,7 @@
     least_seconds,
     place,
 )
+from eelgrassdale_gateway.shares import Sharers, share_of_rate
 from eelgrassdale_gateway.waiting import Waiter, in_order, is_late, refusal_of
 
 # Waiting requests are looked at again this often without another cause.
@@ -58,6 +59,8 @@
         Where this node is.
     live_nodes : callable
         Returns the number of live gateways, this one included.
+    sharers : callable
+        Returns the gateways that share bounds.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         fleet: Fleet,
         data_centre: str,
         live_nodes: Callable[[], int],
+        sharers: Callable[[], Sharers],
         seed: int | None = None,
     ) -> None:
         self.loads = LoadBook()
@@ -76,6 +80,7 @@
         self._fleet = fleet
         self._data_centre = data_centre
         self._live_nodes = live_nodes
+        self._sharers = sharers
         self._rng = Random(seed)
         self._queues: dict[str, list[_Queued]] = defaultdict(list)
         self._cold_sends: dict[str, deque[float]] = defaultdict(deque)
@@ -234,13 +239,12 @@
         return max(listed, self.notices.version_at(server.address, model, now=now))
 
     def _bears_cold(self, server: BackendServer, service: Service, now: float) -> bool:
-        """Return whether a cold backend server bears one more request now.
-
-        Nodes cannot agree on each request, so each uses an equal share.
-        """
+        """Return whether this node may send a cold server one more request now."""
         if now >= server.cold_until or not service.cold_rate:
             return True
         sends = self._cold_sends[server.id]
         while sends and now - sends[0] > COLD_WINDOW_SECONDS:
             sends.popleft()
-        return len(sends) < max(1.0, service.cold_rate / self._live_nodes())
+        return len(sends) + 1 <= share_of_rate(
+            service.cold_rate, subject=server.id, sharers=self._sharers()
+        )
--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -23,6 +23,7 @@
     encode,
 )
 from eelgrassdale_gateway.notices import NoticeBook
+from eelgrassdale_gateway.shares import Sharers
 
 # Loads must be about as fresh as the time between two requests of a node.
 HEARTBEAT_SECONDS = 0.15
@@ -35,6 +36,9 @@
 FORGET_SECONDS = 30.0
 KNOWN_PER_HEARTBEAT = 1
 MAX_PEERS = 1024
+# Gateways assumed by a node that has just started and heard of nobody: both
+# deployments of today have 9.
+ASSUMED_GATEWAYS = 9
 
 log = structlog.get_logger(__name__)
 
@@ -92,6 +96,7 @@
         self._peers: dict[Address, Peer] = {}
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
+        self._started_at = clock.monotonic()
 
     async def start(self) -> None:
         """Bind the address and send heartbeats from now on."""
@@ -132,6 +137,20 @@
         """Return the number of live gateways, this one included."""
         return 1 + len(self.live())
 
+    def sharers(self) -> Sharers:
+        """Return the gateways among which bounds over all of them are divided.
+
+        Silent peers count until they are forgotten: they may be cut off from
+        this node only, and still send.
+        """
+        members = {
+            _label(peer.address) for peer in self._peers.values() if not peer.is_leaving
+        }
+        if not members and self._clock.monotonic() - self._started_at < FORGET_SECONDS:
+            members = {f"unknown-{number}" for number in range(1, ASSUMED_GATEWAYS)}
+        me = _label(self._address)
+        return Sharers(me=me, members=frozenset(members | {me}))
+
     def newest_configuration(self) -> int:
         """Return the highest configuration version of the live peers, or 0."""
         return max((peer.configuration for peer in self.live()), default=0)
@@ -247,6 +266,10 @@
     )
 
 
+def _label(address: Address) -> str:
+    return f"{address[0]}:{address[1]}"
+
+
 def _facts_of(heartbeat: Heartbeat) -> NodeFacts:
     return NodeFacts(
         name=heartbeat.name,
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -19,6 +19,7 @@
 from eelgrassdale_gateway.peers import Address, NodeFacts, Peers
 from eelgrassdale_gateway.repeats import RepeatBudgets
 from eelgrassdale_gateway.serverlist import ServerList
+from eelgrassdale_gateway.shares import Sharers
 from eelgrassdale_gateway.staging import (
     ChunkRelay,
     GatewayPlace,
@@ -91,6 +92,7 @@
             fleet=self.fleet,
             data_centre=cfg.data_centre,
             live_nodes=self._live_nodes,
+            sharers=self._sharers,
         )
         self.peers = Peers(
             clock=self._clock,
@@ -122,7 +124,7 @@
         self._budgets = RepeatBudgets(
             ratio=cfg.repeat_ratio,
             slack=cfg.repeat_slack,
-            live_nodes=self._live_nodes,
+            sharers=self._sharers,
         )
         self.forwarder = Forwarder(
             clock=self._clock,
@@ -249,6 +251,9 @@
         # The dispatcher is built before the peers, which report to it.
         return self.peers.live_nodes()
 
+    def _sharers(self) -> Sharers:
+        return self.peers.sharers()
+
     def _origin_facts(self) -> OriginFacts | None:
         """Return the origin that the configuration names, or None."""
         table = self.fleet.table
--- a/packages/gateway/eelgrassdale_gateway/repeats.py
+++ b/packages/gateway/eelgrassdale_gateway/repeats.py
@@ -5,6 +5,7 @@
 from attrs import define, field
 
 from eelgrassdale.routing.retry import RetryBudget
+from eelgrassdale_gateway.shares import Sharers
 
 # The bound counts in windows that slide, in which a saved-up allowance and the
 # running share add up; the rest is a margin for nodes that join.
@@ -22,13 +23,13 @@
         Repeats that all nodes may send for each request.
     slack : float
         Repeats that all nodes may send beside that in one window.
-    live_nodes : callable
-        Returns the number of live gateways.
+    sharers : callable
+        Returns the gateways that share the budget.
     """
 
     ratio: float
     slack: float
-    live_nodes: Callable[[], int]
+    sharers: Callable[[], Sharers]
     _budgets: dict[str, RetryBudget] = field(factory=dict)
 
     def add_request(self, service: str) -> None:
@@ -40,7 +41,7 @@
         return self._budget(service).take()
 
     def _budget(self, service: str) -> RetryBudget:
-        limit = max(1.0, SHARE_OF_SLACK * self.slack / self.live_nodes())
+        limit = max(1.0, SHARE_OF_SLACK * self.slack / self.sharers().count)
         budget = self._budgets.get(service)
         if budget is None:
             budget = RetryBudget(
--- a/packages/gateway/eelgrassdale_gateway/tests/lab.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/lab.py
@@ -22,6 +22,7 @@
     Split,
 )
 from eelgrassdale_gateway.repeats import RepeatBudgets
+from eelgrassdale_gateway.shares import alone
 from eelgrassdale_gateway.wirenames import WireNames
 
 SECONDS = 10
@@ -188,6 +189,7 @@
             fleet=self.fleet,
             data_centre="n1",
             live_nodes=lambda: 1,
+            sharers=alone,
             seed=1,
         )
         self.forwarder = Forwarder(
@@ -197,7 +199,7 @@
             attempts=Attempts(
                 clock=clock, pool=ConnectionPool(connect_seconds=0.5), names=NAMES
             ),
-            budgets=RepeatBudgets(ratio=0.2, slack=40.0, live_nodes=lambda: 1),
+            budgets=RepeatBudgets(ratio=0.2, slack=40.0, sharers=alone),
             names=NAMES,
             events=RequestEvents(),
             seed=1,
--- a/packages/gateway/eelgrassdale_gateway/tests/test_dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_dispatcher.py
@@ -16,6 +16,7 @@
     RouteTable,
     Service,
 )
+from eelgrassdale_gateway.shares import Sharers
 from eelgrassdale_gateway.waiting import Waiter
 
 ENGINE = EngineProfile(slots=16, read_rate=20_700.0, step=0.00927, stride=5)
@@ -30,12 +31,14 @@
         services = {"m": Service(name="m", engine=ENGINE, **service)}
         self.fleet.offer_table(RouteTable(version=1, services=services))
         self.list_servers(servers)
+        members = frozenset(map(str, range(gateways)))
         self.nodes = [
             Dispatcher(
                 clock=self.clock,
                 fleet=self.fleet,
                 data_centre="a",
                 live_nodes=lambda: gateways,
+                sharers=lambda me=str(seed): Sharers(me=me, members=members),
                 seed=seed,
             )
             for seed in range(gateways)
@@ -110,9 +113,11 @@
     assert left == {}
 
 
-def test_cold_server_gets_no_more_than_its_rate_from_all_gateways():
+@pytest.mark.parametrize(("gateways", "rate"), [(9, 36.0), (46, 17.0), (330, 17.0)])
+def test_cold_server_gets_no_more_than_its_rate_from_all_gateways(gateways, rate):
+    # Each of 46 gateways sent one request a second, however small its share.
     async def scene():
-        cluster = Cluster(servers=0, cold_rate=36.0)
+        cluster = Cluster(gateways=gateways, servers=0, cold_rate=rate)
         cluster.list_servers(1, cold_until=1e9)
         sent = 0
         for _ in range(20):
@@ -131,7 +136,7 @@
             cluster.clock.advance(seconds=0.045)
         return sent
 
-    assert asyncio.run(scene()) <= 36.0 * 1.5 + 5
+    assert asyncio.run(scene()) <= rate * 1.5 + 5
 
 
 def test_request_for_a_service_without_servers_is_refused_soon():
--- a/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
@@ -6,7 +6,13 @@
 from eelgrassdale_gateway.loads import LoadBook
 from eelgrassdale_gateway.messages import Heartbeat, ServerNotice, decode, encode
 from eelgrassdale_gateway.notices import NoticeBook
-from eelgrassdale_gateway.peers import SILENT_SECONDS, NodeFacts, Peers
+from eelgrassdale_gateway.peers import (
+    ASSUMED_GATEWAYS,
+    FORGET_SECONDS,
+    SILENT_SECONDS,
+    NodeFacts,
+    Peers,
+)
 
 
 class Wire:
@@ -82,6 +88,40 @@
     assert (names(a), names(b)) == (["b"], ["a"])
 
 
+def test_nodes_that_are_cut_off_from_all_others_keep_their_small_shares():
+    # Guards against several cut-off nodes that each take the whole of a bound.
+    wire = Wire()
+    nodes = [wire.add(name) for name in "abcd"]
+    for node in nodes[1:]:
+        node.introduce(("a", 1))
+    wire.run(rounds=8)
+    wire.cut.update("abcd")
+    wire.run(rounds=int(SILENT_SECONDS / 0.2) + 50)
+    assert [node.live_nodes() for node in nodes] == [1] * 4
+    assert [node.sharers().count for node in nodes] == [4] * 4
+
+
+def test_node_that_heard_of_nobody_does_not_take_the_whole_of_a_bound():
+    wire = Wire()
+    node = wire.add("a")
+    assert node.sharers().count == ASSUMED_GATEWAYS
+    wire.clock.advance(seconds=FORGET_SECONDS)
+    assert node.sharers().count == 1
+
+
+def test_leaving_and_forgotten_nodes_leave_their_shares_to_others():
+    wire = Wire()
+    a, b, c = wire.add("a"), wire.add("b"), wire.add("c")
+    for node in (b, c):
+        node.introduce(("a", 1))
+    wire.run(rounds=8)
+    b.leave()
+    assert a.sharers().count == 2
+    del wire.nodes[("c", 1)]
+    wire.run(rounds=int(FORGET_SECONDS / 0.2) + 2)
+    assert a.sharers().count == 1
+
+
 def test_leaving_node_is_dropped_at_once():
     wire = Wire()
     a, b = wire.add("a"), wire.add("b")
