Count a version's grace from the start of a pause of the process

Cause: a gateway that was frozen as a version was named heard of it when it woke, and let older versions serve for the whole grace from then on. The lines of front-chaguanas-1 and -3 show the freeze from 8.9 to 12.9 s and the naming at 9.0 s.

Change: PauseDetector notes a gap between two beats of the event loop; a version heard of within 2.5 s after it binds as if named at its start, at the earliest after the grace of a start. Steady time now comes from CLOCK_BOOTTIME, which goes on while a VM is suspended; the pool, the chunks and SystemClock use the same source.

Conclusion: freezes no longer stretch the time of old versions.

--- a/packages/core/eelgrassdale/clock.py
+++ b/packages/core/eelgrassdale/clock.py
@@ -21,12 +21,21 @@
         ...
 
 
+def steady_seconds() -> float:
+    """Return seconds that never go backwards and go on while a VM is suspended.
+
+    `time.monotonic` stands still on a suspended VM, so a deadline kept with it
+    would end later there than everywhere else.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 class SystemClock:
     """Clock of the operating system."""
 
     def monotonic(self) -> float:
-        """Return the operating system's monotonic time in seconds."""
-        return time.monotonic()
+        """Return the operating system's steady time in seconds."""
+        return steady_seconds()
 
     def now(self) -> datetime:
         """Return the operating system's wall-clock time in UTC."""
--- a/packages/core/eelgrassdale/http1/client.py
+++ b/packages/core/eelgrassdale/http1/client.py
@@ -1,10 +1,10 @@
 """Client connections to one address, one request at a time on each."""
 
 import asyncio
-import time
 
 import h11
 
+from eelgrassdale.clock import steady_seconds
 from eelgrassdale.http1.messages import Head, Request, text_headers, wire_headers
 from eelgrassdale.http1.receiving import Receiver
 from eelgrassdale.http1.sockets import watch_for_silence
@@ -33,7 +33,7 @@
         writer: asyncio.StreamWriter,
     ) -> None:
         self.address = address
-        self.idle_since = time.monotonic()
+        self.idle_since = steady_seconds()
         self.keep_alive_seconds: float | None = None
         self.exchanges = 0
         self._receiver = Receiver(reader=reader)
@@ -123,7 +123,7 @@
         if self._h11.their_state is not h11.DONE or self._h11.our_state is not h11.DONE:
             return False
         self._h11.start_next_cycle()
-        self.idle_since = time.monotonic()
+        self.idle_since = steady_seconds()
         self._receiver.pending()
         return True
 
--- a/packages/core/eelgrassdale/http1/pool.py
+++ b/packages/core/eelgrassdale/http1/pool.py
@@ -1,8 +1,8 @@
 """Idle client connections, kept by address."""
 
-import time
 from collections import defaultdict, deque
 
+from eelgrassdale.clock import steady_seconds
 from eelgrassdale.http1.client import Address, ClientConnection, connect
 from eelgrassdale.http1.messages import Head, Request
 
@@ -106,4 +106,4 @@
     limit = DEFAULT_IDLE_SECONDS
     if conn.keep_alive_seconds is not None:
         limit = KEEP_ALIVE_SHARE * conn.keep_alive_seconds
-    return conn.is_quiet() and time.monotonic() - conn.idle_since < limit
+    return conn.is_quiet() and steady_seconds() - conn.idle_since < limit
--- a/packages/gateway/eelgrassdale_gateway/fleet.py
+++ b/packages/gateway/eelgrassdale_gateway/fleet.py
@@ -84,13 +84,18 @@
         self.data_centres_out = names
         self._notify()
 
-    def set_named_versions(self, versions: Mapping[str, int], now: float) -> None:
+    def set_named_versions(
+        self, versions: Mapping[str, int], now: float, *, unaware: float = 0.0
+    ) -> None:
         """Note the named version of each model.
 
         A version that is first seen with the first list was named at an
-        unknown time before.
+        unknown time before. One that is seen after this process stood still
+        may have been named up to `unaware` seconds ago.
         """
-        grace = self.grace if self.has_versions else self._start_grace
+        grace = self._start_grace
+        if self.has_versions:
+            grace = max(grace, self.grace - unaware)
         self.has_versions = True
         for model, version in versions.items():
             named = self._named.setdefault(model, [])
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -16,6 +16,7 @@
 from eelgrassdale_gateway.fleet import Fleet
 from eelgrassdale_gateway.forwarding import Forwarder
 from eelgrassdale_gateway.model import BackendServer
+from eelgrassdale_gateway.pauses import PauseDetector
 from eelgrassdale_gateway.peers import Address, NodeFacts, Peers
 from eelgrassdale_gateway.repeats import RepeatBudgets
 from eelgrassdale_gateway.serverlist import ServerList
@@ -87,6 +88,7 @@
         self._clock = clock or SystemClock()
         self.fleet = Fleet(grace=cfg.version_grace, start_grace=cfg.start_grace)
         self.servers = ServerList()
+        self._pauses = PauseDetector(clock=self._clock)
         self.dispatcher = Dispatcher(
             clock=self._clock,
             fleet=self.fleet,
@@ -183,7 +185,11 @@
         # Versions from before the start are loaded nearly everywhere.
         is_first = not self.fleet.has_versions
         known = self.fleet.named_versions()
-        self.fleet.set_named_versions(versions, self._clock.monotonic())
+        self.fleet.set_named_versions(
+            versions,
+            self._clock.monotonic(),
+            unaware=self._pauses.unaware_seconds(),
+        )
         for model, version in versions.items():
             if not is_first and version > known.get(model, 0):
                 self._prefetch(model, version)
@@ -216,6 +222,7 @@
     async def run(self) -> None:
         """Do the periodic work until cancelled."""
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._pauses.run())
             group.create_task(self.peers.run())
             group.create_task(self._keep_house())
 
--- a/packages/gateway/eelgrassdale_gateway/staging/chunks.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/chunks.py
@@ -1,11 +1,12 @@
 """The verified chunks of one model version, held in memory for peers."""
 
-import asyncio
 import hashlib
 from collections.abc import Sequence
 
 from attrs import define, field, frozen
 
+from eelgrassdale.clock import steady_seconds
+
 
 @frozen(kw_only=True)
 class WeightsManifest:
@@ -53,7 +54,7 @@
 class ChunkSet:
     """Verified chunks of one version.
 
-    `whole_at` is the monotonic moment at which the last chunk came.
+    `whole_at` is the steady moment at which the last chunk came.
     """
 
     manifest: WeightsManifest
@@ -66,7 +67,7 @@
             return False
         self._chunks[index] = data
         if self.is_whole:
-            self.whole_at = min(self.whole_at, asyncio.get_running_loop().time())
+            self.whole_at = min(self.whole_at, steady_seconds())
         return True
 
     def get(self, index: int) -> bytes | None:
--- a/packages/gateway/eelgrassdale_gateway/tests/test_fleet.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_fleet.py
@@ -1,7 +1,9 @@
 """Tests of what a gateway believes and when it changes its mind."""
 
+from eelgrassdale.clock import ManualClock
 from eelgrassdale_gateway.fleet import Fleet
 from eelgrassdale_gateway.model import BackendServer, RouteTable
+from eelgrassdale_gateway.pauses import PauseDetector
 from eelgrassdale_gateway.serverlist import ServerList
 
 
@@ -27,6 +29,33 @@
     assert required == [0, 1, 2, 3]
 
 
+def test_version_heard_of_after_a_pause_binds_as_if_named_at_its_start():
+    """A gateway that was frozen for 4 s sent work to an old version for 4 s more."""
+    clock = ManualClock()
+    pauses = PauseDetector(clock=clock)
+    fleet = Fleet(grace=7.0, start_grace=1.0)
+    fleet.set_named_versions({"m": 1}, now=0.0)
+    for _ in range(10):
+        clock.advance(seconds=0.2)
+        pauses.beat()
+    clock.advance(seconds=4.0)
+    now = clock.monotonic()
+    fleet.set_named_versions({"m": 2}, now=now, unaware=pauses.unaware_seconds())
+    assert fleet.required_version("m", now + 2.9) == 1
+    assert fleet.required_version("m", now + 3.1) == 2
+
+
+def test_version_heard_of_long_after_a_pause_has_its_whole_grace():
+    clock = ManualClock()
+    pauses = PauseDetector(clock=clock)
+    clock.advance(seconds=4.0)
+    pauses.beat()
+    for _ in range(15):
+        clock.advance(seconds=0.2)
+        pauses.beat()
+    assert pauses.unaware_seconds() == 0.0
+
+
 def test_lapsed_entries_count_until_servers_could_write_them_again():
     """Leases run out while the store is away; the servers still live."""
     servers = ServerList()
