Give every end of a request one line with id, code and reason

A caller that left had an event of its own without code and attempts; a stream that was broken off after it began was logged as BACKEND_FAILED ("may have run") though ANSWER_TRUNCATED ("ran, ended early") names it; and many successes could drop the line of a failure, as both were one kind to the rate limit.

Ruled out: an unlimited rate for failures, which a flood of refusals would turn into the load that the limit is for.

Change: callers that leave end with CALLER_CANCELLED; streams broken off end with ANSWER_TRUNCATED and the reason; the rate limit counts an event with a result code as a kind of its own.

--- a/packages/core/eelgrassdale/logs.py
+++ b/packages/core/eelgrassdale/logs.py
@@ -91,7 +91,8 @@
 class RateLimit:
     """A processor that limits each kind of event; warnings and errors pass.
 
-    What was dropped is counted, and the counts are added to a later event.
+    Events of one name with different result codes are different kinds, so that
+    many successes do not drop the line of a failure. What was dropped is counted, and the counts are added to a later event.
 
     Examples
     --------
@@ -119,7 +120,7 @@
     ) -> Mapping[str, Any]:
         """Return the event, or raise `structlog.DropEvent`."""
         now = self.clock()
-        kind = str(event.get("event", ""))
+        kind = _kind_of(event)
         if method in ("debug", "info") and not self._take(kind, now):
             self.dropped[kind] += 1
             raise structlog.DropEvent
@@ -140,6 +141,11 @@
         return True
 
 
+def _kind_of(event: Mapping[str, Any]) -> str:
+    name = str(event.get("event", ""))
+    return f"{name} {event['code']}" if "code" in event else name
+
+
 class BoundedWriter:
     """A text file whose `write` never blocks.
 
--- a/packages/core/eelgrassdale/tests/test_logs.py
+++ b/packages/core/eelgrassdale/tests/test_logs.py
@@ -64,3 +64,12 @@
 def test_warnings_are_never_dropped(method):
     limit = RateLimit(burst=0.0, rate=0.0)
     assert limit(None, method, {"event": "store lost"})["event"] == "store lost"
+
+
+def test_many_successes_do_not_drop_the_line_of_a_failure():
+    limit = RateLimit(burst=2.0, rate=0.0)
+    with pytest.raises(structlog.DropEvent):
+        for _ in range(3):
+            limit(None, "info", {"event": "request ended", "code": "OK"})
+    failure = {"event": "request ended", "code": "QUEUE_FULL"}
+    assert limit(None, "info", failure)["dropped"] == {"request ended OK": 1}
--- a/packages/gateway/eelgrassdale_gateway/events.py
+++ b/packages/gateway/eelgrassdale_gateway/events.py
@@ -120,11 +120,6 @@
         """Note why a failed attempt is not followed by another."""
         log.info("request not repeated", request=request, reason=reason)
 
-    def caller_left(self, *, request: str, service: str, seconds: float) -> None:
-        """Note that a caller closed its connection before its answer ended."""
-        self._ended.labels(ResultCode.CALLER_CANCELLED.name, service).inc()
-        log.info("caller left", request=request, seconds=round(seconds, 3))
-
     def ended(
         self, *, request: str, service: str, code: ResultCode, **fields: object
     ) -> None:
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -72,11 +72,7 @@
         except TimeoutError:
             await self._out_of_time(call)
         except (asyncio.CancelledError, ConnectionError):
-            self._events.caller_left(
-                request=call.admitted.request_id,
-                service=call.admitted.service,
-                seconds=self._clock.monotonic() - call.admitted.arrived_at,
-            )
+            self._log_end(call, ResultCode.CALLER_CANCELLED)
             raise
 
     async def refuse_leaving(self, exchange: Exchange) -> None:
@@ -197,7 +193,7 @@
     ) -> None:
         """End a request that gets no further attempt."""
         if call.exchange.is_started:
-            self._log_end(call, code)
+            self._log_end(call, ResultCode.ANSWER_TRUNCATED, reason=code.name)
             call.exchange.abort()
         elif answer is not None:
             await self._pass_on(call, answer)
