Let two gateways of a data centre watch the store for all

Cause: every gateway and agent watched the store. Heartbeats with all loads went from each node to each node of every other region.

Ruled out: longer pauses between calls, which delay every change; one watcher in each data centre, since nothing independent would show that it is behind; copies passed on by gateways that follow others themselves, as two could follow each other.

Change: following.SharedSource reads from the store in two gateways of each data centre, chosen by rendezvous, and from these in the others; agents read from gateways near them. Heartbeats carry the newest revision of each kind; copies.Copies reads anew what is behind. A node that the store turns away follows others. Followers get only the newest version of each object, compressed. One gateway of a data centre reports its work to other regions; the others send signs of life.

--- a/packages/gateway/eelgrassdale_gateway/loads.py
+++ b/packages/gateway/eelgrassdale_gateway/loads.py
@@ -1,7 +1,7 @@
 """Load of backend servers, from this node's work and its peers' reports."""
 
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from attrs import define, field, frozen
 
@@ -98,6 +98,17 @@
         """Return the open work of this node by backend server."""
         return dict(self._own)
 
+    def sum_of(self, peers: Collection[str], *, now: float) -> Mapping[str, Load]:
+        """Return the open work of this node and some peers by backend server."""
+        total = dict(self._own)
+        for peer in peers:
+            report = self._reports.get(peer)
+            if report is None or now - report.at > REPORT_SECONDS:
+                continue
+            for server, load in report.loads.items():
+                total[server] = total.get(server, Load()) + load
+        return total
+
     def load_of(self, server: str, *, now: float, peers: int = 0) -> Load:
         """Return the work of all nodes at one backend server.
 
--- a/packages/gateway/eelgrassdale_gateway/messages.py
+++ b/packages/gateway/eelgrassdale_gateway/messages.py
@@ -1,4 +1,4 @@
-"""Datagrams between agents and gateways, read from `peers.thrift` at import."""
+"""Messages between agents and gateways, read from `peers.thrift` at import."""
 
 from pathlib import Path
 from typing import Any
@@ -13,7 +13,12 @@
 )
 
 Datagram = _module.Datagram
+GatewayEntry = _module.GatewayEntry
+GatewayList = _module.GatewayList
 Heartbeat = _module.Heartbeat
+KindRevision = _module.KindRevision
+ObjectPage = _module.ObjectPage
+ObjectRecord = _module.ObjectRecord
 PeerAddress = _module.PeerAddress
 ServerLoad = _module.ServerLoad
 ServerNotice = _module.ServerNotice
@@ -35,12 +40,33 @@
         datagram = Datagram(heartbeat=message)
     else:
         datagram = Datagram(notice=message)
+    return encode_struct(datagram)
+
+
+def encode_struct(struct: Any) -> bytes:
+    """Return any message of `peers.thrift` as bytes."""
     buffer = TCyMemoryBuffer()
-    _protocols.get_protocol(buffer).write_struct(datagram)
+    _protocols.get_protocol(buffer).write_struct(struct)
     buffer.flush()
     return buffer.getvalue()
 
 
+def decode_struct(data: bytes, empty: Any) -> Any:
+    """Return `empty` filled from bytes, or None if they cannot be read.
+
+    Examples
+    --------
+    >>> decode_struct(encode_struct(ObjectPage(revision=7)), ObjectPage()).revision
+    7
+
+    """
+    try:
+        return _protocols.get_protocol(TCyMemoryBuffer(data)).read_struct(empty)
+    except Exception:
+        # The decoder raises many types for damaged input, all with one meaning.
+        return None
+
+
 def decode(data: bytes) -> Any:
     """Return the message of a datagram, or None for anything else.
 
@@ -50,11 +76,8 @@
     True
 
     """
-    try:
-        protocol = _protocols.get_protocol(TCyMemoryBuffer(data))
-        datagram = protocol.read_struct(Datagram())
-    except Exception:
-        # The decoder raises many types for damaged input, all with one meaning.
+    datagram = decode_struct(data, Datagram())
+    if datagram is None:
         return None
     heartbeat = datagram.heartbeat
     if heartbeat is not None:
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/objectserving.py
@@ -0,0 +1,298 @@
+"""Objects of the store that gateways give to each other and to agents.
+
+Few gateways watch the store. The others, and the agents, read the same
+objects from a gateway near them, over HTTP with compressed Thrift bodies.
+"""
+
+import asyncio
+import json
+import zlib
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+from urllib.parse import parse_qs, quote, unquote
+
+from attrs import frozen
+
+from eelgrassdale.http1 import (
+    ConnectFailed,
+    ConnectionPool,
+    Exchange,
+    ExchangeBroken,
+    Request,
+)
+from eelgrassdale_gateway.changelog import ChangeLog
+from eelgrassdale_gateway.messages import (
+    GatewayEntry,
+    GatewayList,
+    ObjectPage,
+    ObjectRecord,
+    decode_struct,
+    encode_struct,
+)
+from eelgrassdale_gateway.objects import (
+    Change,
+    Changes,
+    HistoryGone,
+    Listing,
+    StoredObject,
+    StoreUnavailable,
+)
+from eelgrassdale_gateway.staging.relay import GatewayPlace
+
+Address = tuple[str, int]
+
+OBJECTS_PATH = "/objects/"
+GATEWAYS_PATH = "/gateways"
+# A gateway that is alive answers in milliseconds.
+CALL_SECONDS = 0.6
+CONNECT_SECONDS = 0.4
+MAX_WAIT_SECONDS = 5.0
+MAX_ANSWER_BYTES = 16_777_216
+# A configuration of a thousand routes has 400 KB, which one gateway sends to
+# many others over a narrow link; the fastest level takes most of it away.
+COMPRESSION_LEVEL = 1
+# Encoded answers that are kept for other followers.
+MAX_PAGES = 16
+
+
+@frozen(kw_only=True)
+class ObjectQuery:
+    """What a follower asks for.
+
+    `since` None asks for the whole kind, a revision for the changes after it,
+    for at most `wait` seconds. With `is_direct`, only a gateway that reads the
+    store itself answers, so that no two gateways follow each other.
+    """
+
+    kind: str
+    since: int | None = None
+    wait: float = 0.0
+    is_direct: bool = False
+
+    @property
+    def target(self) -> str:
+        """The request's path and query."""
+        since = "" if self.since is None else str(self.since)
+        return (
+            f"{OBJECTS_PATH}{quote(self.kind, safe='')}"
+            f"?since={since}&wait={self.wait:.3f}&direct={int(self.is_direct)}"
+        )
+
+
+def parse_query(target: str) -> ObjectQuery | None:
+    """Return what a target asks for, or None.
+
+    Examples
+    --------
+    >>> query = ObjectQuery(kind="a b", since=7, wait=2.0, is_direct=True)
+    >>> parse_query(query.target) == query
+    True
+    >>> parse_query("/objects/k?since=x") is None
+    True
+
+    """
+    path, _, query = target.partition("?")
+    if not path.startswith(OBJECTS_PATH):
+        return None
+    fields = {name: values[0] for name, values in parse_qs(query).items()}
+    try:
+        return ObjectQuery(
+            kind=unquote(path.removeprefix(OBJECTS_PATH)),
+            since=int(fields["since"]) if "since" in fields else None,
+            wait=min(MAX_WAIT_SECONDS, float(fields.get("wait", "0"))),
+            is_direct=fields.get("direct") == "1",
+        )
+    except ValueError:
+        return None
+
+
+class ObjectServer:
+    """Answers followers from the copies that this gateway keeps.
+
+    Parameters
+    ----------
+    logs : callable
+        Returns the copies by kind.
+    is_direct : callable
+        Returns whether the copy of a kind is read from the store itself.
+    gateways : callable
+        Returns the live gateways, this one included.
+    """
+
+    def __init__(
+        self,
+        *,
+        logs: Callable[[], Mapping[str, ChangeLog]],
+        is_direct: Callable[[str], bool],
+        gateways: Callable[[], Sequence[GatewayPlace]],
+    ) -> None:
+        self._logs = logs
+        self._is_direct = is_direct
+        self._gateways = gateways
+        self._pages: dict[tuple[str, int | None, int | None], bytes] = {}
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        if exchange.request.target == GATEWAYS_PATH:
+            await exchange.respond(200, (), encode_gateways(self._gateways()))
+            return
+        query = parse_query(exchange.request.target)
+        log = self._logs().get(query.kind) if query else None
+        if log is None:
+            await exchange.respond(404)
+        elif query.since is None:
+            await self._list(exchange, query, log)
+        else:
+            await self._watch(exchange, query, log)
+
+    def _serves(self, query: ObjectQuery, log: ChangeLog) -> bool:
+        is_allowed = not query.is_direct or self._is_direct(query.kind)
+        return log.revision is not None and is_allowed
+
+    async def _list(
+        self, exchange: Exchange, query: ObjectQuery, log: ChangeLog
+    ) -> None:
+        if not self._serves(query, log):
+            await exchange.respond(503)
+            return
+        await exchange.respond(200, (), self._page(query, log, None))
+
+    async def _watch(
+        self, exchange: Exchange, query: ObjectQuery, log: ChangeLog
+    ) -> None:
+        end_at = asyncio.get_running_loop().time() + query.wait
+        while True:
+            if not self._serves(query, log):
+                await exchange.respond(503)
+                return
+            changes = log.since(query.since)
+            if changes is None:
+                await exchange.respond(410)
+                return
+            left = end_at - asyncio.get_running_loop().time()
+            if changes or left <= 0:
+                break
+            try:
+                async with asyncio.timeout(left):
+                    await log.wait()
+            except TimeoutError:
+                continue
+        await exchange.respond(200, (), self._page(query, log, changes))
+
+    def _page(
+        self, query: ObjectQuery, log: ChangeLog, changes: Sequence[Change] | None
+    ) -> bytes:
+        """Return a whole kind or changes of it, encoded once for all followers."""
+        key = (query.kind, query.since, log.revision)
+        page = self._pages.get(key)
+        if page is None:
+            page = _encode_page(log, changes)
+            while len(self._pages) >= MAX_PAGES:
+                del self._pages[next(iter(self._pages))]
+            self._pages[key] = page
+        return page
+
+
+class ObjectClient:
+    """Reads objects from gateways; methods raise `StoreUnavailable`."""
+
+    def __init__(self) -> None:
+        self._pool = ConnectionPool(connect_seconds=CONNECT_SECONDS)
+
+    async def list(self, address: Address, query: ObjectQuery) -> tuple[Listing, int]:
+        """Return a whole kind, and the revision of its newest change."""
+        page = await self._page(address, query)
+        objects = tuple(_object(record) for record in page.records)
+        return Listing(objects=objects, revision=page.revision), page.changed_at
+
+    async def watch(self, address: Address, query: ObjectQuery) -> Changes:
+        """Return changes; raises `HistoryGone` if the gateway forgot some."""
+        page = await self._page(address, query)
+        changes = tuple(
+            Change(object=_object(record), is_deleted=bool(record.is_deleted))
+            for record in page.records
+        )
+        return Changes(changes=changes, revision=page.revision)
+
+    async def gateways(self, address: Address) -> Sequence[GatewayPlace]:
+        """Return the gateways that one knows to be alive."""
+        found = decode_struct(await self._call(address, GATEWAYS_PATH), GatewayList())
+        if found is None or found.gateways is None:
+            raise StoreUnavailable("unreadable answer", of_store=False)
+        return [
+            GatewayPlace(
+                name=entry.name,
+                data_centre=entry.data_centre,
+                region=entry.region,
+                address=(entry.host, entry.port),
+            )
+            for entry in found.gateways
+        ]
+
+    async def _page(self, address: Address, query: ObjectQuery) -> Any:
+        data = await self._call(address, query.target, wait=query.wait)
+        try:
+            page = decode_struct(zlib.decompress(data), ObjectPage())
+        except zlib.error as exc:
+            raise StoreUnavailable(f"unreadable: {exc}", of_store=False) from exc
+        if page is None or page.records is None:
+            raise StoreUnavailable("unreadable answer", of_store=False)
+        return page
+
+    async def _call(self, address: Address, target: str, wait: float = 0.0) -> bytes:
+        host = f"{address[0]}:{address[1]}"
+        req = Request(method="GET", target=target, headers=(("host", host),))
+        try:
+            async with asyncio.timeout(CALL_SECONDS + wait):
+                head, data = await self._pool.call(address, req, limit=MAX_ANSWER_BYTES)
+        except (ConnectFailed, ExchangeBroken, TimeoutError) as exc:
+            raise StoreUnavailable(f"{host}: {exc!r}", of_store=False) from exc
+        if head.status == 410:
+            raise HistoryGone(target)
+        if head.status != 200:
+            reason = f"{host}: status {head.status}"
+            raise StoreUnavailable(reason, of_store=False)
+        return data
+
+
+def encode_gateways(places: Sequence[GatewayPlace]) -> bytes:
+    """Return a list of gateways as bytes."""
+    entries = [
+        GatewayEntry(
+            name=place.name,
+            host=place.address[0],
+            port=place.address[1],
+            data_centre=place.data_centre,
+            region=place.region,
+        )
+        for place in places
+    ]
+    return encode_struct(GatewayList(gateways=entries))
+
+
+def _encode_page(log: ChangeLog, changes: Sequence[Change] | None) -> bytes:
+    if changes is None:
+        records = [_record(item) for item in log.objects.values()]
+    else:
+        records = [_record(c.object, is_deleted=c.is_deleted) for c in changes]
+    page = ObjectPage(revision=log.revision, records=records, changed_at=log.changed_at)
+    return zlib.compress(encode_struct(page), COMPRESSION_LEVEL)
+
+
+def _record(item: StoredObject, *, is_deleted: bool = False) -> Any:
+    return ObjectRecord(
+        name=item.name,
+        revision=item.revision,
+        spec=json.dumps(item.spec).encode(),
+        status=json.dumps(item.status).encode(),
+        is_deleted=is_deleted,
+    )
+
+
+def _object(record: Any) -> StoredObject:
+    return StoredObject(
+        name=record.name,
+        revision=record.revision,
+        spec=json.loads(record.spec),
+        status=json.loads(record.status),
+    )
--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -6,16 +6,18 @@
 """
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 
 import structlog
-from attrs import define, frozen
+from attrs import define, field, frozen
 
 from eelgrassdale.clock import Clock
+from eelgrassdale.hashing import rendezvous_order
 from eelgrassdale_gateway.loads import Load, LoadBook
 from eelgrassdale_gateway.messages import (
     Heartbeat,
+    KindRevision,
     PeerAddress,
     ServerLoad,
     ServerNotice,
@@ -27,10 +29,13 @@
 
 # Loads must be about as fresh as the time between two requests of a node.
 HEARTBEAT_SECONDS = 0.15
-# Work goes to other regions less often, and their links cost more.
-OTHER_REGION_EVERY = 4
+# Work goes to other regions less often, and their links cost more. One node of
+# a data centre reports there for all; the others only show that they live.
+REPORT_EVERY = 4
+SIGN_OF_LIFE_EVERY = 8
 # Three lost heartbeats in a row do not happen on a link that works.
 SILENT_SECONDS = 2.0
+FAR_SILENT_SECONDS = 4.0
 # A silent peer is still told of this node, more rarely, while it may return.
 SILENT_EVERY = 10
 FORGET_SECONDS = 30.0
@@ -66,7 +71,7 @@
     heard_at: float = float("-inf")
     known_since: float = 0.0
     is_leaving: bool = False
-    configuration: int = 0
+    revisions: Mapping[str, int] = field(factory=dict)
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -81,11 +86,11 @@
         loads: LoadBook,
         notices: NoticeBook,
         on_change: Callable[[], None],
-        configuration: Callable[[], int] = lambda: 0,
+        revisions: Callable[[], Mapping[str, int]] = dict,
         seed: int | None = None,
     ) -> None:
         self.me = me
-        self._configuration = configuration
+        self._revisions = revisions
         self.is_leaving = False
         self._clock = clock
         self._address = address
@@ -131,7 +136,7 @@
     def live(self) -> list[Peer]:
         """Return the peers that are alive and not leaving."""
         now = self._clock.monotonic()
-        return [p for p in self._peers.values() if _is_live(p, now)]
+        return [p for p in self._peers.values() if self._is_live(p, now)]
 
     def live_nodes(self) -> int:
         """Return the number of live gateways, this one included."""
@@ -151,9 +156,13 @@
         me = _label(self._address)
         return Sharers(me=me, members=frozenset(members | {me}))
 
-    def newest_configuration(self) -> int:
-        """Return the highest configuration version of the live peers, or 0."""
-        return max((peer.configuration for peer in self.live()), default=0)
+    def newest_revisions(self) -> dict[str, int]:
+        """Return the newest revision of each kind that live peers know."""
+        newest: dict[str, int] = {}
+        for peer in self.live():
+            for kind, revision in peer.revisions.items():
+                newest[kind] = max(revision, newest.get(kind, 0))
+        return newest
 
     def send_heartbeats(self) -> None:
         """Send one heartbeat to each peer."""
@@ -162,18 +171,42 @@
         now = self._clock.monotonic()
         self._sequence += 1
         self._forget_old(now)
-        data = encode(self._heartbeat(now))
+        is_reporter = self._is_reporter()
+        near = encode(self._heartbeat(now, self._loads.own_loads(), is_whole=True))
+        far = encode(self._heartbeat(now, self._far_loads(now), is_whole=is_reporter))
         for place, peer in enumerate(self._peers.values()):
-            if (self._sequence + place) % self._turns(peer, now) == 0:
+            turns = self._turns(peer, now, is_reporter=is_reporter)
+            if (self._sequence + place) % turns == 0:
+                data = near if self._is_near(peer) else far
                 self._transport.sendto(data, peer.address)
 
-    def _turns(self, peer: Peer, now: float) -> int:
+    def _turns(self, peer: Peer, now: float, *, is_reporter: bool) -> int:
         """Return of how many heartbeats a peer gets one."""
         if now - peer.known_since < SILENT_SECONDS or self.is_leaving:
             return 1
-        if now - peer.heard_at > SILENT_SECONDS:
+        if now - peer.heard_at > FAR_SILENT_SECONDS:
             return SILENT_EVERY
-        return 1 if peer.facts.region == self.me.region else OTHER_REGION_EVERY
+        if self._is_near(peer):
+            return 1
+        return REPORT_EVERY if is_reporter else SIGN_OF_LIFE_EVERY
+
+    def _is_near(self, peer: Peer) -> bool:
+        return peer.facts is None or peer.facts.region == self.me.region
+
+    def _names_here(self) -> list[str]:
+        """Return the live gateways of this data centre, but for this one."""
+        facts = (peer.facts for peer in self.live())
+        return [f.name for f in facts if f.data_centre == self.me.data_centre]
+
+    def _is_reporter(self) -> bool:
+        """Return whether this node reports its data centre to other regions."""
+        members = [*self._names_here(), self.me.name]
+        topic = f"report/{self.me.data_centre}"
+        return rendezvous_order(topic=topic, members=members)[0] == self.me.name
+
+    def _far_loads(self, now: float) -> Mapping[str, Load]:
+        """Return the work of this data centre at each backend server."""
+        return self._loads.sum_of(self._names_here(), now=now)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Take a heartbeat or a notice."""
@@ -204,18 +237,20 @@
         incarnation = facts.incarnation if facts else -1
         if (heartbeat.incarnation, heartbeat.sequence) <= (incarnation, peer.sequence):
             return
-        was_live = _is_live(peer, now)
+        was_live = self._is_live(peer, now)
         peer.facts = _facts_of(heartbeat)
         peer.sequence = heartbeat.sequence
         peer.heard_at = now
         peer.is_leaving = heartbeat.is_leaving
-        peer.configuration = heartbeat.configuration or 0
+        peer.revisions = {
+            entry.kind: entry.revision for entry in heartbeat.revisions or ()
+        }
         loads = {
             load.server: Load(requests=load.requests, tokens=load.tokens)
             for load in heartbeat.loads
         }
         self._loads.note_report(peer.facts.name, loads, now=now)
-        if was_live != _is_live(peer, now):
+        if was_live != self._is_live(peer, now):
             log.info(
                 "peer changed",
                 peer=peer.facts.name,
@@ -224,6 +259,12 @@
             )
         self._on_change()
 
+    def _is_live(self, peer: Peer, now: float) -> bool:
+        if peer.facts is None or peer.is_leaving:
+            return False
+        limit = SILENT_SECONDS if self._is_near(peer) else FAR_SILENT_SECONDS
+        return now - peer.heard_at <= limit
+
     def _forget_old(self, now: float) -> None:
         for address, peer in list(self._peers.items()):
             last = max(peer.heard_at, peer.known_since)
@@ -232,8 +273,11 @@
                 if peer.facts is not None:
                     self._loads.forget_peer(peer.facts.name)
 
-    def _heartbeat(self, now: float) -> Heartbeat:
-        live = [peer for peer in self._peers.values() if _is_live(peer, now)]
+    def _heartbeat(
+        self, now: float, loads: Mapping[str, Load], *, is_whole: bool
+    ) -> Heartbeat:
+        """Return a heartbeat, or one without loads and revisions."""
+        live = [peer for peer in self._peers.values() if self._is_live(peer, now)]
         known = self._rng.sample(live, min(KNOWN_PER_HEARTBEAT, len(live)))
         return Heartbeat(
             name=self.me.name,
@@ -246,7 +290,7 @@
             region=self.me.region,
             loads=[
                 ServerLoad(server=server, requests=load.requests, tokens=load.tokens)
-                for server, load in self._loads.own_loads().items()
+                for server, load in (loads.items() if is_whole else ())
             ],
             known=[
                 PeerAddress(
@@ -254,18 +298,13 @@
                 )
                 for peer in known
             ],
-            configuration=self._configuration(),
+            revisions=[
+                KindRevision(kind=kind, revision=revision)
+                for kind, revision in (self._revisions().items() if is_whole else ())
+            ],
         )
 
 
-def _is_live(peer: Peer, now: float) -> bool:
-    return (
-        peer.facts is not None
-        and not peer.is_leaving
-        and now - peer.heard_at <= SILENT_SECONDS
-    )
-
-
 def _label(address: Address) -> str:
     return f"{address[0]}:{address[1]}"
 
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -12,6 +12,12 @@
     3: i32 port
 }
 
+// The revision of the newest change of a kind that a gateway knows.
+struct KindRevision {
+    1: string kind
+    2: i64 revision
+}
+
 struct Heartbeat {
     1: string name
     2: i64 incarnation
@@ -23,7 +29,7 @@
     8: string region
     9: list<ServerLoad> loads
     10: list<PeerAddress> known
-    11: i64 configuration
+    11: list<KindRevision> revisions
 }
 
 // What the agent beside an engine says of it to gateways. `is_open` is false
@@ -43,3 +49,31 @@
     1: optional Heartbeat heartbeat
     2: optional ServerNotice notice
 }
+
+// `spec` and `status` are bodies in the encoding of the platform's store.
+struct ObjectRecord {
+    1: string name
+    2: i64 revision
+    3: binary spec
+    4: binary status
+    5: bool is_deleted
+}
+
+// Objects of a kind, or changes of them, up to a revision of the store.
+struct ObjectPage {
+    1: i64 revision
+    2: list<ObjectRecord> records
+    3: i64 changed_at
+}
+
+struct GatewayEntry {
+    1: string name
+    2: string host
+    3: i32 port
+    4: string data_centre
+    5: string region
+}
+
+struct GatewayList {
+    1: list<GatewayEntry> gateways
+}
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import signal
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 
 import structlog
 from attrs import evolve, frozen
@@ -11,11 +11,16 @@
 from eelgrassdale.clock import Clock, SystemClock
 from eelgrassdale.http1 import CallerLimits, ConnectionPool, Exchange, HttpServer
 from eelgrassdale_gateway.attempts import Attempts
+from eelgrassdale_gateway.copies import Copies
 from eelgrassdale_gateway.dispatcher import Dispatcher
 from eelgrassdale_gateway.events import RequestEvents
 from eelgrassdale_gateway.fleet import Fleet
+from eelgrassdale_gateway.following import SharedSource, Surroundings
 from eelgrassdale_gateway.forwarding import Forwarder
+from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.model import BackendServer
+from eelgrassdale_gateway.objects import ObjectSource
+from eelgrassdale_gateway.objectserving import ObjectServer
 from eelgrassdale_gateway.pauses import PauseDetector
 from eelgrassdale_gateway.peers import Address, NodeFacts, Peers
 from eelgrassdale_gateway.repeats import RepeatBudgets
@@ -77,12 +82,10 @@
         cfg: GatewaySettings,
         names: WireNames,
         new_origin: Callable[[Address], WeightsOrigin],
-        on_behind: Callable[[], None] = lambda: None,
         clock: Clock | None = None,
     ) -> None:
         self.cfg = cfg
         self._new_origin = new_origin
-        self._on_behind = on_behind
         self._origin: tuple[Address, OriginFacts] | None = None
         self.is_stopping = False
         self._clock = clock or SystemClock()
@@ -109,7 +112,7 @@
             loads=self.dispatcher.loads,
             notices=self.dispatcher.notices,
             on_change=self.dispatcher.pump,
-            configuration=self._configuration_version,
+            revisions=lambda: self._copies.revisions() if self._copies else {},
         )
         for seed in cfg.seeds:
             self.peers.introduce(seed)
@@ -140,15 +143,38 @@
         self.server = HttpServer(handler=self._handle, limits=self._limits)
         self.relay = ChunkRelay(
             me=_place_of(self.peers.me, cfg.peer_address),
-            gateways=lambda: [
-                _place_of(peer.facts, peer.address) for peer in self.peers.live()
-            ],
+            gateways=self._live_places,
             origin=self._origin_facts,
         )
-        self._weights = HttpServer(handler=WeightsServer(read=self.relay.read).handle)
+        self._copies: Copies | None = None
+        self._weights = WeightsServer(read=self.relay.read)
+        self._objects = ObjectServer(
+            logs=lambda: self._copies.logs() if self._copies else {},
+            is_direct=lambda kind: self._copies.source.is_direct(kind),
+            gateways=self._places,
+        )
+        self._peer_server = HttpServer(handler=self._handle_peer)
         self._refuses = False
         self._prefetching: dict[str, asyncio.Future[None]] = {}
 
+    def follow(
+        self,
+        store: ObjectSource,
+        new_mirrors: Callable[[ObjectSource], Sequence[Mirror]],
+    ) -> None:
+        """Keep copies of the store's kinds, read from it or from other gateways."""
+        source = SharedSource(
+            store=store,
+            here=self._surroundings,
+            known=self._known_revision,
+            clock=self._clock,
+        )
+        self._copies = Copies(
+            source=source,
+            mirrors=new_mirrors(source),
+            newest=self.peers.newest_revisions,
+        )
+
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Take over settings that may change while the process runs.
 
@@ -216,7 +242,7 @@
     async def start(self) -> None:
         """Bind the addresses and begin to serve."""
         await self.server.start(*self.cfg.caller_address)
-        await self._weights.start(*self.cfg.peer_address)
+        await self._peer_server.start(*self.cfg.peer_address)
         await self.peers.start()
 
     async def run(self) -> None:
@@ -225,6 +251,8 @@
             group.create_task(self._pauses.run())
             group.create_task(self.peers.run())
             group.create_task(self._keep_house())
+            if self._copies is not None:
+                group.create_task(self._copies.run())
 
     async def stop(self) -> None:
         """Leave gracefully: no answer that was begun is lost."""
@@ -275,8 +303,27 @@
             self._origin = (found.address, facts)
         return self._origin[1]
 
-    def _configuration_version(self) -> int:
-        return self.fleet.table.version if self.fleet.table else 0
+    def _live_places(self) -> list[GatewayPlace]:
+        return [_place_of(peer.facts, peer.address) for peer in self.peers.live()]
+
+    def _places(self) -> list[GatewayPlace]:
+        return [_place_of(self.peers.me, self.cfg.peer_address), *self._live_places()]
+
+    def _surroundings(self) -> Surroundings:
+        return Surroundings(
+            name=self.cfg.name,
+            data_centre=self.cfg.data_centre,
+            gateways=tuple(self._live_places()),
+        )
+
+    def _known_revision(self, kind: str) -> int:
+        return self._copies.revisions().get(kind, 0) if self._copies else 0
+
+    async def _handle_peer(self, exchange: Exchange) -> None:
+        if exchange.request.target.startswith("/weights/"):
+            await self._weights.handle(exchange)
+        else:
+            await self._objects.handle(exchange)
 
     def _recheck_servers(self) -> None:
         self._set_servers(self.servers.current(now=self._clock.monotonic()))
@@ -289,9 +336,6 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
             self._pool.drop_unused()
-            if self.peers.newest_configuration() > self._configuration_version():
-                # Half a second is longer than any watch takes to tell of it.
-                self._on_behind()
 
 
 def _place_of(facts: NodeFacts, address: Address) -> GatewayPlace:
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_changelog.py
@@ -0,0 +1,46 @@
+"""Tests of the changes that a gateway keeps for its followers."""
+
+from eelgrassdale_gateway import changelog
+from eelgrassdale_gateway.changelog import ChangeLog
+from eelgrassdale_gateway.objects import Change, StoredObject
+
+
+def item(name, revision, value=0):
+    return StoredObject(name=name, revision=revision, spec=value)
+
+
+def test_follower_gets_only_the_newest_of_many_versions_of_an_object():
+    """25 versions of a large configuration in two seconds filled a link."""
+    log = ChangeLog()
+    log.replace({}, 5)
+    for revision in range(6, 31):
+        log.add([Change(object=item("main", revision, revision))], revision)
+    assert [change.object.spec for change in log.since(5)] == [30]
+    assert [change.object.spec for change in log.since(29)] == [30]
+    assert log.since(30) == ()
+
+
+def test_follower_that_is_too_far_behind_reads_the_whole_kind(monkeypatch):
+    monkeypatch.setattr(changelog, "MAX_CHANGES", 3)
+    log = ChangeLog()
+    log.replace({}, 5)
+    for revision in range(6, 11):
+        log.add([Change(object=item(f"o-{revision}", revision))], revision)
+    assert log.since(5) is None
+    assert len(log.since(8)) == 2
+
+
+def test_two_copies_agree_on_the_revision_of_a_deletion():
+    first, second = ChangeLog(), ChangeLog()
+    for log, revision in ((first, 9), (second, 12)):
+        log.replace({"a": item("a", 3)}, 5)
+        log.add([Change(object=item("a", 8), is_deleted=True)], revision)
+    assert first.changed_at == second.changed_at == 8
+
+
+def test_lost_copy_says_so():
+    log = ChangeLog()
+    log.replace({"a": item("a", 3)}, 5)
+    log.lose()
+    assert log.revision is None
+    assert log.changed_at == 3
--- a/packages/gateway/eelgrassdale_gateway/tests/test_store.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_mirror.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from eelgrassdale.clock import SystemClock
-from eelgrassdale_gateway.store import (
+from eelgrassdale_gateway.mirror import Mirror
+from eelgrassdale_gateway.objects import (
     Change,
     Changes,
     HistoryGone,
     Listing,
-    Mirror,
     StoredObject,
     StoreUnavailable,
 )
--- a/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
@@ -8,6 +8,7 @@
 from eelgrassdale_gateway.notices import NoticeBook
 from eelgrassdale_gateway.peers import (
     ASSUMED_GATEWAYS,
+    FAR_SILENT_SECONDS,
     FORGET_SECONDS,
     SILENT_SECONDS,
     NodeFacts,
@@ -23,24 +24,27 @@
         self.nodes = {}
         self.cut = set()
 
-    def add(self, name, incarnation=1):
+    def add(self, name, incarnation=1, region="n"):
         address = (name, 1)
+        loads = LoadBook()
         node = Peers(
             clock=self.clock,
             me=NodeFacts(
                 name=name,
                 incarnation=incarnation,
                 caller_address=(name, 80),
-                data_centre="n1",
-                region="n",
+                data_centre=f"{region}1",
+                region=region,
             ),
             address=address,
-            loads=LoadBook(),
+            loads=loads,
             notices=NoticeBook(),
             on_change=lambda: None,
             seed=len(self.nodes),
         )
-        node.connection_made(Port(self, address))
+        node.loads = loads
+        node.port = Port(self, address)
+        node.connection_made(node.port)
         self.nodes[address] = node
         return node
 
@@ -55,8 +59,10 @@
     def __init__(self, wire, address):
         self.wire = wire
         self.address = address
+        self.sent = {}
 
     def sendto(self, data, target):
+        self.sent[target] = self.sent.get(target, 0) + len(data)
         ends = {self.address[0], target[0]}
         if target in self.wire.nodes and not ends & self.wire.cut:
             self.wire.nodes[target].datagram_received(data, self.address)
@@ -131,6 +137,49 @@
     assert names(a) == []
 
 
+def two_regions(count):
+    """Return nodes of two regions that know each other, each with some work."""
+    wire = Wire()
+    here = [wire.add(f"n-{number}") for number in range(count)]
+    there = [wire.add(f"s-{number}", region="s") for number in range(count)]
+    for node in here + there:
+        node.introduce(("n-0", 1))
+        for number in range(20):
+            node.loads.sent(f"server-{number}", tokens=100, now=0.0)
+    wire.run(rounds=30)
+    return wire, here, there
+
+
+def test_region_hears_the_work_of_another_one_once():
+    """Each node sent its loads to each node of every other region."""
+    wire, here, there = two_regions(6)
+    now = wire.clock.monotonic()
+    for node in here + there:
+        assert node.loads.load_of("server-3", now=now).requests == 12
+
+
+def test_bytes_between_regions_are_a_fraction_of_those_within():
+    wire, here, there = two_regions(6)
+    for node in here + there:
+        node.port.sent.clear()
+    wire.run(rounds=80)
+    near = far = 0
+    for node in here:
+        for (name, _), size in node.port.sent.items():
+            if name.startswith("n-"):
+                near += size
+            else:
+                far += size
+    assert 0 < far < near / 10
+
+
+def test_silent_node_of_another_region_is_not_live_for_ever():
+    wire, here, _ = two_regions(2)
+    wire.cut.add("s-0")
+    wire.run(rounds=int(FAR_SILENT_SECONDS / 0.2) + 2)
+    assert names(here[0]) == ["n-1", "s-1"]
+
+
 def test_delayed_heartbeat_of_an_earlier_start_changes_nothing():
     wire = Wire()
     a = wire.add("a")
