Place a broken stream before its pause grows too long

Cause: a stream that broke after its first event waited to be continued with the due moment of its first event. That was past by then, so it counted as late: it came behind all others, could not take the last places of an engine, and was refused 2.4 s after its arrival. The engine's reading of what was written so far was not counted either.

Ruled out: an own queue for continued streams, as the order by due moment already says what is needed.

Before: test_broken_stream_is_continued_before_its_pause_is_too_long fails (the stream is broken off). After: it passes.

--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -45,6 +45,8 @@
     runs: int = 0
     sends: int = 0
     last_event: int | None = None
+    events: int = 0
+    last_event_at: float = 0.0
 
     @property
     def is_idempotent(self) -> bool:
@@ -151,6 +153,8 @@
                 call.last_event = number
             new.append(event)
         if new:
+            call.events += len(new)
+            call.last_event_at = self._clock.monotonic()
             await self._start(call, head)
             await call.exchange.write(b"".join(new))
         return True
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -13,7 +13,7 @@
 from eelgrassdale_gateway.events import RequestEvents
 from eelgrassdale_gateway.fleet import Fleet
 from eelgrassdale_gateway.loads import Work
-from eelgrassdale_gateway.model import BackendServer
+from eelgrassdale_gateway.model import BackendServer, EngineProfile
 from eelgrassdale_gateway.outcomes import Answered, Lost, NotRun, Outcome, Relayed
 from eelgrassdale_gateway.repeats import RepeatBudgets
 from eelgrassdale_gateway.waiting import Waiter, is_late, return_seconds
@@ -104,7 +104,8 @@
     async def _attempt(
         self, call: Call, excluded: frozenset[str]
     ) -> tuple[Outcome, BackendServer]:
-        waiter = _waiter(call, excluded)
+        service = self._fleet.table.services.get(call.admitted.service)
+        waiter = _waiter(call, excluded, service.engine if service else None)
         placement, work = await self._dispatcher.place(waiter)
         server = placement.server
         admitted = call.admitted
@@ -254,19 +255,33 @@
         )
 
 
-def _waiter(call: Call, excluded: frozenset[str]) -> Waiter:
+def _waiter(
+    call: Call, excluded: frozenset[str], engine: EngineProfile | None
+) -> Waiter:
+    """Return a request as it waits, at first or to be continued.
+
+    A broken stream is due before its longest pause ends. The next engine reads
+    what was written so far behind the prompt.
+    """
     admitted = call.admitted
     regions = admitted.regions
+    waits_since = admitted.arrived_at
+    objective_at = waits_since + admitted.route.objective
+    written = 0
+    if call.events:
+        waits_since = call.last_event_at
+        objective_at = waits_since + admitted.route.longest_pause
+        written = call.events * (engine.stride if engine else 1)
     return Waiter(
         service=admitted.service if regions is not None else "",
         model=admitted.model,
-        tokens=admitted.prompt_tokens,
-        output_tokens=admitted.output_tokens,
+        tokens=admitted.prompt_tokens + written,
+        output_tokens=max(0, admitted.output_tokens - written),
         priority=admitted.priority,
         regions=regions or frozenset(),
         excluded=excluded,
-        arrived_at=admitted.arrived_at,
-        objective_at=admitted.arrived_at + admitted.route.objective,
+        arrived_at=waits_since,
+        objective_at=objective_at,
         end_at=admitted.end_at,
     )
 
--- a/packages/gateway/eelgrassdale_gateway/model.py
+++ b/packages/gateway/eelgrassdale_gateway/model.py
@@ -25,7 +25,8 @@
 
     `is_idempotent` requests may run more than once; `is_resumable` streams
     may be continued on another backend server behind the last event.
-    `regions` are the only regions that may run or store its requests; empty
+    `longest_pause` is the longest time between two events of a stream that is
+    on time. `regions` are the only regions that may run or store its requests; empty
     allows all. `priority` 0 is the most urgent.
     """
 
@@ -39,6 +40,7 @@
     is_anonymous: bool = False
     timeout: float = 30.0
     objective: float = 1.0
+    longest_pause: float = 1.0
     priority: int = 0
     max_attempts: int = 1
     regions: frozenset[str] = frozenset()
--- a/packages/gateway/eelgrassdale_gateway/tests/lab.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/lab.py
@@ -209,28 +209,27 @@
 
     async def start(self, service: str, *backends: Backend, **changes) -> None:
         """Serve, with the backend servers listed under `s-0`, `s-1` and so on."""
-        for backend in backends:
-            await backend.start()
         self.fleet.offer_table(TABLE)
-        self.fleet.set_servers(
-            {
-                f"s-{number}": evolve(
-                    BackendServer(
-                        id=f"s-{number}",
-                        service=service,
-                        address=backend.address,
-                        data_centre="n1",
-                        region="n",
-                        slots=4,
-                        versions={"m": 1},
-                    ),
-                    **changes,
-                )
-                for number, backend in enumerate(backends)
-            }
-        )
+        self.fleet.set_servers({})
+        for number, backend in enumerate(backends):
+            await self.add(service, f"s-{number}", backend, **changes)
         self.address = await self.server.start("127.0.0.1", 0)
 
+    async def add(self, service: str, name: str, backend: Backend, **changes) -> None:
+        """Start a backend server and list it."""
+        await backend.start()
+        server = BackendServer(
+            id=name,
+            service=service,
+            address=backend.address,
+            data_centre="n1",
+            region="n",
+            slots=4,
+            versions={"m": 1},
+        )
+        listed = {**self.fleet.servers, name: evolve(server, **changes)}
+        self.fleet.set_servers(listed)
+
     async def ask(
         self, path: str, *, method: str = "POST", seconds: float = 2.0, **more
     ):
--- a/packages/gateway/eelgrassdale_gateway/tests/test_forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_forwarding.py
@@ -6,6 +6,7 @@
 
 from eelgrassdale.http1 import ExchangeBroken, Request, connect
 from eelgrassdale_gateway.tests.lab import (
+    SECONDS,
     Backend,
     answer,
     chunk,
@@ -237,6 +238,42 @@
     assert failures >= 1
 
 
+def test_broken_stream_is_continued_before_its_pause_is_too_long():
+    """A stream that broke late was treated as late, and waited behind others."""
+
+    async def breaking(req, writer):
+        writer.write(stream_head(req) + chunk(event(0)))
+        await writer.drain()
+        await asyncio.sleep(0.7)
+        writer.close()
+
+    async def busy(req, writer):
+        if "t-last-event" in req:
+            await stream_of(0, 3)(req, writer)
+            return
+        writer.write(stream_head(req) + chunk(event(0)))
+        await asyncio.sleep(SECONDS)
+
+    async def scene(lab):
+        good = Backend(reply=busy)
+        bad = Backend(reply=breaking)
+        await lab.start("engine", bad)
+        asked = asyncio.ensure_future(lab.ask("/stream/", seconds=6, t_model="m"))
+        while not bad.seen:
+            await asyncio.sleep(0.01)
+        await lab.add("engine", "s-9", good)
+        # Late requests may not take the place above the slots.
+        for _ in range(4):
+            lab.dispatcher.loads.sent("s-9", tokens=0, now=0.0)
+        begun_at = asyncio.get_running_loop().time()
+        _, body = await asked
+        return body, asyncio.get_running_loop().time() - begun_at
+
+    body, seconds = play(scene)
+    assert body == b"".join(event(number) for number in range(4))
+    assert seconds < 2.0
+
+
 def test_continued_stream_with_a_gap_is_broken_off():
     async def gap(req, writer):
         writer.write(stream_head(req) + chunk(event(4)) + chunk(b""))
