--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -117,11 +117,6 @@
         self.loads.ended(work)
         self.pump()
 
-    def is_closed(self, server: BackendServer) -> bool:
-        """Return whether the agent said that the server takes no new work."""
-        now = self._clock.monotonic()
-        return self.notices.is_closed(server.address, now=now)
-
     def waiting(self) -> int:
         """Return the number of waiting requests."""
         return sum(len(queue) for queue in self._queues.values())
@@ -231,7 +226,7 @@
         usable = [
             server
             for server in servers
-            if not self.is_closed(server)
+            if not self.notices.is_closed(server.address, now=now)
             and self._version_at(server, waiter.model, now) >= lowest
         ]
         return [s for s in usable if s.id not in waiter.excluded] or usable
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -147,9 +147,6 @@
                 health.unreachable(server.id, now=now)
             case NotRun():
                 health.refused(server.id, now=now)
-            case Lost() if self._dispatcher.is_closed(server):
-                # A load cut its streams, which go on elsewhere.
-                pass
             case Lost():
                 health.failed(server.id, now=now)
             case Answered(head=head) if head.status >= 500:
--- a/packages/gateway/eelgrassdale_gateway/model.py
+++ b/packages/gateway/eelgrassdale_gateway/model.py
@@ -141,15 +141,6 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def is_resumable(self, service: str) -> bool:
-        """Return whether all routes to a service carry streams that may be resumed."""
-        routes = [
-            route
-            for route in self.routes
-            if any(split.service == service for split in route.splits)
-        ]
-        return bool(routes) and all(route.is_resumable for route in routes)
-
     def routes_of_host(self, host: str) -> tuple[Route, ...]:
         """Return the routes of a host."""
         return tuple(self._by_host.get(host, {}).values())
--- a/packages/gateway/eelgrassdale_gateway/staging/engine.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/engine.py
@@ -63,13 +63,8 @@
         """Stage a chunk, replacing any version of it."""
         ...
 
-    async def load(
-        self, model: str, version: int, sequence: int, *, is_cutting: bool = False
-    ) -> OrderAnswer:
-        """Order to load what is staged, if no order came since `sequence`.
-
-        The load waits for running work, or cuts it with `is_cutting`.
-        """
+    async def load(self, model: str, version: int, sequence: int) -> OrderAnswer:
+        """Order to load what is staged, if no order came since `sequence`."""
         ...
 
 
--- a/packages/gateway/eelgrassdale_gateway/staging/keeper.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/keeper.py
@@ -22,22 +22,13 @@
     VersionGone,
 )
 from eelgrassdale_gateway.staging.fetching import Fetcher
-from eelgrassdale_gateway.staging.turns import (
-    CUTTING_TURN_SECONDS,
-    TURN_SECONDS,
-    load_at,
-    turn_of,
-)
+from eelgrassdale_gateway.staging.turns import load_at, turn_of
 
 POLL_SECONDS = 0.5
 LOADING_POLL_SECONDS = 0.1
 RETRY_SECONDS = 0.3
 # Time for gateways to hear that the engine takes no new work for now.
 CLOSE_NOTICE_SECONDS = 0.03
-# Time for running streams to end before the rest are cut, and continued at
-# other engines. A longer one leaves the engine idle for its last streams.
-DRAIN_SECONDS = 0.8
-DRAIN_POLL_SECONDS = 0.05
 # A transfer that is further is ended before a newer version is fetched.
 KEEP_FETCHING_SHARE = 0.5
 # Versions held in memory for each model: one to load or serve to peers, and
@@ -124,8 +115,6 @@
     announce : callable
         Called with whether the engine takes new work, the model and the
         version that it holds, whenever one of these changes.
-    may_cut : callable
-        Returns whether all work of the engine can be continued elsewhere.
     before_transfer : callable
         Coroutine function that reads gateways and neighbours anew.
     """
@@ -140,7 +129,6 @@
         neighbours: Callable[[], Collection[str]],
         announce: Callable[[bool, str, int], None],
         before_transfer: Callable[[], Awaitable[None]],
-        may_cut: Callable[[], bool] = lambda: False,
     ) -> None:
         self._cfg = cfg
         self._engine = engine
@@ -149,7 +137,6 @@
         self._neighbours = neighbours
         self._announce = announce
         self._before_transfer = before_transfer
-        self._may_cut = may_cut
         self._models: dict[str, _Model] = {}
         self._state = EngineState()
         self._engine_seen = False
@@ -276,7 +263,6 @@
             ready_at=chunks.whole_at,
             binding_at=named_at + self._cfg.version_grace,
             is_empty=is_empty,
-            turn_seconds=CUTTING_TURN_SECONDS if self._may_cut() else TURN_SECONDS,
         )
         wait = at - self._clock.monotonic()
         if wait > POLL_SECONDS:
@@ -303,11 +289,8 @@
         self._announce(False, manifest.model, state.versions.get(manifest.model, 0))
         await asyncio.sleep(CLOSE_NOTICE_SECONDS)
         try:
-            is_cutting = self._may_cut()
-            if is_cutting:
-                await self._drain()
             answer = await self._engine.load(
-                manifest.model, manifest.version, state.sequence, is_cutting=is_cutting
+                manifest.model, manifest.version, state.sequence
             )
             log.info(
                 "load ordered",
@@ -320,14 +303,6 @@
         finally:
             await self._announce_state(manifest.model)
 
-    async def _drain(self) -> None:
-        """Wait until the engine is idle, for a while."""
-        end_at = self._clock.monotonic() + DRAIN_SECONDS
-        while self._clock.monotonic() < end_at:
-            if not (await self._engine.state()).running:
-                return
-            await asyncio.sleep(DRAIN_POLL_SECONDS)
-
     async def _await_loaded(self, chunks: ChunkSet) -> None:
         manifest = chunks.manifest
         begun_at = self._clock.monotonic()
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/farm.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/farm.py
@@ -98,9 +98,7 @@
         self._check()
         self.chunks[index] = data
 
-    async def load(
-        self, model: str, version: int, sequence: int, *, is_cutting: bool = False
-    ) -> OrderAnswer:
+    async def load(self, model: str, version: int, sequence: int) -> OrderAnswer:
         """Load what is staged, right or wrong."""
         self._check()
         if sequence != self.sequence:
--- a/packages/gateway/eelgrassdale_gateway/staging/turns.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/turns.py
@@ -7,10 +7,8 @@
 from collections.abc import Collection
 
 # Half of the agents of a data centre load when they are ready, the others
-# this much later, when the first are back. Seconds, where a load waits for the
-# last running stream, and where streams are cut after DRAIN_SECONDS.
+# this much later, when the first are back. Seconds.
 TURN_SECONDS = 2.2
-CUTTING_TURN_SECONDS = 1.3
 GROUPS = 2
 
 
@@ -27,14 +25,7 @@
     return order.index(me) % GROUPS
 
 
-def load_at(
-    *,
-    turn: int,
-    ready_at: float,
-    binding_at: float,
-    is_empty: bool,
-    turn_seconds: float = TURN_SECONDS,
-) -> float:
+def load_at(*, turn: int, ready_at: float, binding_at: float, is_empty: bool) -> float:
     """Return when an engine may load, as a monotonic moment.
 
     Parameters
@@ -47,8 +38,6 @@
         When older versions may no longer serve; waiting longer is no use.
     is_empty : bool
         Whether the engine serves no version, so that a load takes nothing away.
-    turn_seconds : float
-        How long an engine takes no work for a load.
 
     Examples
     --------
@@ -60,4 +49,4 @@
     """
     if is_empty:
         return ready_at
-    return max(ready_at, min(binding_at, ready_at + turn * turn_seconds))
+    return max(ready_at, min(binding_at, ready_at + turn * TURN_SECONDS))
