Share the pause detection, the free ports and the time limit option

Change: eelgrassdale.pauses.PauseDetector serves agent and gateway; eelgrassdale.tests.ports has free_address; commands.common has timeout_option.

--- a/packages/agent/eelgrassdale_agent/pauses.py
+++ b/packages/agent/eelgrassdale_agent/pauses.py
@@ -7,16 +7,13 @@
 
 from eelgrassdale.admission import events as ev
 from eelgrassdale.clock import Clock
+from eelgrassdale.pauses import PauseDetector
 from eelgrassdale.telemetry import Metrics
 from eelgrassdale_agent import metrics as names
 from eelgrassdale_agent.backend import BackendError
 from eelgrassdale_agent.engine import EngineClient
 from eelgrassdale_agent.gate import AdmissionGate
 
-TICK_SECONDS = 0.2
-# A loop that ticks five times a second and misses a whole second was stopped.
-PAUSE_SECONDS = 1.0
-
 log = structlog.get_logger(__name__)
 
 
@@ -50,31 +47,28 @@
         self._clock = clock
         self._metrics = metrics
         self._lock = threading.Lock()
-        self._ticked_at = clock.monotonic()
+        self._detector = PauseDetector(clock=clock)
 
     def tick(self) -> None:
         """Note that the process runs; called several times a second."""
-        self._note()
+        self._note(self._detector.beat)
         if self._gate.is_suspended():
             self._check()
 
     def before_admission(self) -> None:
         """Notice a pause that the loop has not seen yet, and check after it."""
-        self._note(is_tick=False)
+        self._note(self._detector.look)
         if self._gate.is_suspended():
             self._check()
 
-    def _note(self, *, is_tick: bool = True) -> None:
+    def _note(self, read: Callable[[], float]) -> None:
         with self._lock:
-            now = self._clock.monotonic()
-            seconds = now - self._ticked_at
-            if is_tick or seconds > PAUSE_SECONDS:
-                self._ticked_at = now
-            if seconds > PAUSE_SECONDS:
+            seconds = read()
+            if seconds:
                 # Under the lock: a request read at the same time must not find
                 # the new tick without the pause.
                 self._gate.apply(ev.PauseSeen, seconds=seconds)
-        if seconds > PAUSE_SECONDS:
+        if seconds:
             log.warning("the process was paused", seconds=round(seconds, 3))
             self._metrics.count(names.PAUSES)
 
--- a/packages/agent/eelgrassdale_agent/program.py
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -13,11 +13,12 @@
 from eelgrassdale.identity import Role
 from eelgrassdale.node.context import NodeContext, new_context
 from eelgrassdale.node.runtime import NodeRuntime
+from eelgrassdale.pauses import BEAT_SECONDS
 from eelgrassdale.results import ResultCode
 from eelgrassdale.stopping import catch_stop_signals
 from eelgrassdale.telemetry import configure_logs
 from eelgrassdale.wire import AgentService, NodeServer
-from eelgrassdale_agent import metrics, pauses, watch
+from eelgrassdale_agent import metrics, watch
 from eelgrassdale_agent.answers import BufferBudget
 from eelgrassdale_agent.engine import EngineClient
 from eelgrassdale_agent.gate import AdmissionGate
@@ -82,7 +83,7 @@
         self._server.start()
         self.runtime.start()
         self.weights.start()
-        self._loop("pause-guard", self.guard.tick, pauses.TICK_SECONDS)
+        self._loop("pause-guard", self.guard.tick, BEAT_SECONDS)
         self._loop("engine-watch", self.watch.step, watch.WATCH_SECONDS)
         self._loop("sweep", self._sweep, SWEEP_SECONDS)
         log.info("agent started", address=self._cfg.node_address)
--- a/packages/agent/eelgrassdale_agent/tests/weights_fleet.py
+++ b/packages/agent/eelgrassdale_agent/tests/weights_fleet.py
@@ -1,7 +1,6 @@
 """Several weights tasks in one process, with engines and a source beside them."""
 
 import json
-import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -24,6 +23,7 @@
 from eelgrassdale.membership.members import Member, Members
 from eelgrassdale.node.context import NodeContext
 from eelgrassdale.telemetry import InvariantMonitor, Metrics, new_tracer
+from eelgrassdale.tests.ports import free_address
 from eelgrassdale.weights import Manifest, manifest_of
 from eelgrassdale.wire import AgentService, Headroom, NodeServer, ProbeAnswer
 from eelgrassdale_agent.transfer import WeightsSettings, WeightsTask
@@ -32,20 +32,6 @@
 SERVICE = "lids"
 
 
-# Sockets that keep their ports until the process ends: an outgoing connection
-# of another test could take a port between its choice and its use.
-_reserved: list[socket.socket] = []
-
-
-def free_address() -> str:
-    """Return a loopback address that only a server with SO_REUSEADDR can bind."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(("127.0.0.1", 0))
-    _reserved.append(sock)
-    return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def wait_until(condition, seconds: float = 20.0) -> bool:
     """Return whether `condition` became true within `seconds`."""
     end = time.monotonic() + seconds
--- a/packages/core/eelgrassdale/node/pause.py
+++ b/packages/core/eelgrassdale/node/pause.py
@@ -2,8 +2,7 @@
 
 from attrs import evolve, frozen
 
-# A loop that ticks several times a second and misses one second was paused.
-PAUSE_SECONDS = 1.0
+from eelgrassdale.pauses import LEAST_PAUSE_SECONDS
 
 
 @frozen(kw_only=True)
@@ -30,7 +29,7 @@
 
 def is_overdue(pulse: Pulse, now: float) -> bool:
     """Return whether the loop missed its ticks for too long."""
-    return now - pulse.ticked_at > PAUSE_SECONDS
+    return now - pulse.ticked_at >= LEAST_PAUSE_SECONDS
 
 
 def after_comparison(pulse: Pulse) -> Pulse:
--- /dev/null
+++ b/packages/core/eelgrassdale/tests/ports.py
@@ -0,0 +1,16 @@
+"""Loopback addresses for tests that start servers."""
+
+import socket
+
+# Sockets that keep their ports until the process ends: an outgoing connection
+# of another test could take a port between its choice and its use.
+_reserved: list[socket.socket] = []
+
+
+def free_address() -> str:
+    """Return a loopback address that only a server with SO_REUSEADDR can bind."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(("127.0.0.1", 0))
+    _reserved.append(sock)
+    return f"127.0.0.1:{sock.getsockname()[1]}"
--- a/packages/core/eelgrassdale/wire/tests/test_wire.py
+++ b/packages/core/eelgrassdale/wire/tests/test_wire.py
@@ -1,9 +1,8 @@
 """Tests of the connection and server between nodes."""
 
-import socket
-
 import pytest
 
+from eelgrassdale.tests.ports import free_address
 from eelgrassdale.wire import (
     Envelope,
     NodeConnection,
@@ -14,19 +13,6 @@
     UnknownDeliveryError,
 )
 
-# Sockets that keep their ports until the process ends: an outgoing connection
-# of another test could take a port between its choice and its use.
-_reserved: list[socket.socket] = []
-
-
-def free_address() -> str:
-    """Return a loopback address that only a server with SO_REUSEADDR can bind."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(("127.0.0.1", 0))
-    _reserved.append(sock)
-    return f"127.0.0.1:{sock.getsockname()[1]}"
-
 
 class Handler:
     """Answers probes; an envelope without a sender makes it fail."""
--- a/packages/entry/eelgrassdale_entry/commands/common.py
+++ b/packages/entry/eelgrassdale_entry/commands/common.py
@@ -1,6 +1,7 @@
 """Options, exit codes and error output that several subcommands share."""
 
 import sys
+from collections.abc import Callable
 from typing import NoReturn
 
 import click
@@ -37,6 +38,17 @@
 )
 
 
+def timeout_option(*, default: float, text: str) -> Callable:
+    """Return the option for how long a command waits, in seconds."""
+    return click.option(
+        "--timeout-seconds",
+        type=click.FloatRange(min=0),
+        default=default,
+        show_default=True,
+        help=text,
+    )
+
+
 def open_store(url: str) -> ObjectStore:
     """Return a client of the object API for one command."""
     return ObjectStore(url=url, metrics=Metrics())
--- a/packages/entry/eelgrassdale_entry/commands/config.py
+++ b/packages/entry/eelgrassdale_entry/commands/config.py
@@ -16,6 +16,7 @@
     open_store,
     or_exit,
     store_option,
+    timeout_option,
     vm_list_option,
 )
 from eelgrassdale_operators import (
@@ -75,12 +76,9 @@
 @vm_list_option
 @expect_generation_option
 @no_wait_option
-@click.option(
-    "--timeout-seconds",
-    type=click.FloatRange(min=0),
+@timeout_option(
     default=WAIT_SECONDS,
-    show_default=True,
-    help="How long to wait until the generation is in force everywhere.",
+    text="How long to wait until the generation is in force everywhere.",
 )
 def apply(
     path: Path,
--- a/packages/entry/eelgrassdale_entry/commands/model.py
+++ b/packages/entry/eelgrassdale_entry/commands/model.py
@@ -23,6 +23,7 @@
     open_store,
     or_exit,
     store_option,
+    timeout_option,
     vm_list_option,
 )
 from eelgrassdale_entry.commands.model_progress import PushProgress, progress_of
@@ -57,12 +58,9 @@
 )
 @expect_generation_option
 @no_wait_option
-@click.option(
-    "--timeout-seconds",
-    type=click.FloatRange(min=0),
+@timeout_option(
     default=WAIT_SECONDS,
-    show_default=True,
-    help="How long to wait until all replicas have the version.",
+    text="How long to wait until all replicas have the version.",
 )
 @store_option
 @vm_list_option
--- a/packages/entry/eelgrassdale_entry/tests/harness.py
+++ b/packages/entry/eelgrassdale_entry/tests/harness.py
@@ -26,6 +26,7 @@
 from eelgrassdale.node.context import new_context
 from eelgrassdale.results import ResultCode
 from eelgrassdale.spread.replica import head_digest_of
+from eelgrassdale.tests.ports import free_address
 from eelgrassdale.wire import (
     AgentService,
     ConfigDelta,
@@ -45,20 +46,6 @@
 MODEL_VERSION = "lid-1"
 
 
-# Bound without listening, which keeps other processes off the ports until a
-# server that sets SO_REUSEADDR binds them.
-_reserved: list[socket.socket] = []
-
-
-def free_address() -> str:
-    """Return a loopback address that is reserved for this process."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(("127.0.0.1", 0))
-    _reserved.append(sock)
-    return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def wait_until(condition: Callable[[], bool], seconds: float = 10.0) -> None:
     """Wait for a condition; the limit only ends a broken test."""
     deadline = time.monotonic() + seconds
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -10,6 +10,7 @@
 
 from eelgrassdale.clock import Clock, SystemClock
 from eelgrassdale.http1 import CallerLimits, ConnectionPool, Exchange, HttpServer
+from eelgrassdale.pauses import BEAT_SECONDS, PauseDetector
 from eelgrassdale_gateway.attempts import Attempts
 from eelgrassdale_gateway.copies import Copies
 from eelgrassdale_gateway.dispatcher import Dispatcher
@@ -21,7 +22,6 @@
 from eelgrassdale_gateway.model import BackendServer
 from eelgrassdale_gateway.objects import ObjectSource
 from eelgrassdale_gateway.objectserving import ObjectServer
-from eelgrassdale_gateway.pauses import PauseDetector
 from eelgrassdale_gateway.peers import Address, NodeFacts, Peers
 from eelgrassdale_gateway.repeats import RepeatBudgets
 from eelgrassdale_gateway.serverlist import ServerList
@@ -248,7 +248,7 @@
     async def run(self) -> None:
         """Do the periodic work until cancelled."""
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._pauses.run())
+            group.create_task(self._note_pauses())
             group.create_task(self.peers.run())
             group.create_task(self._keep_house())
             if self._copies is not None:
@@ -332,6 +332,13 @@
         self.dispatcher.health.keep(set(servers))
         self.fleet.set_servers(servers)
 
+    async def _note_pauses(self) -> None:
+        while True:
+            seconds = self._pauses.beat()
+            if seconds:
+                log.warning("process stood still", seconds=round(seconds, 3))
+            await asyncio.sleep(BEAT_SECONDS)
+
     async def _keep_house(self) -> None:
         while True:
             await asyncio.sleep(HOUSEKEEPING_SECONDS)
--- a/packages/gateway/eelgrassdale_gateway/tests/test_fleet.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_fleet.py
@@ -1,9 +1,9 @@
 """Tests of what a gateway believes and when it changes its mind."""
 
 from eelgrassdale.clock import ManualClock
+from eelgrassdale.pauses import PauseDetector
 from eelgrassdale_gateway.fleet import Fleet
 from eelgrassdale_gateway.model import BackendServer, RouteTable
-from eelgrassdale_gateway.pauses import PauseDetector
 from eelgrassdale_gateway.serverlist import ServerList
 
 
