Drop queued requests whose caller has left before placing them

Change: a queued request whose future is done is taken off the queue.

Before: test_caller_that_leaves_as_a_server_opens fails with InvalidStateError. After: it passes.

--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -153,6 +153,10 @@
 
     def _try_one(self, queued: _Queued, queue: list[_Queued], now: float) -> None:
         waiter = queued.waiter
+        if queued.fut.done():
+            # Its caller left; the task that waits for it has not run yet.
+            queue.remove(queued)
+            return
         found = self._find(waiter, now)
         if found is not None:
             queue.remove(queued)
--- a/packages/gateway/eelgrassdale_gateway/tests/test_dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_dispatcher.py
@@ -113,6 +113,24 @@
     assert left == {}
 
 
+def test_caller_that_leaves_as_a_server_opens_does_not_end_the_process():
+    """The cancelled request was still queued when the list changed."""
+
+    async def scene():
+        cluster = Cluster(gateways=1, servers=0)
+        node = cluster.nodes[0]
+        leaving = asyncio.ensure_future(node.place(cluster.waiter()))
+        staying = asyncio.ensure_future(node.place(cluster.waiter()))
+        await asyncio.sleep(0)
+        leaving.cancel()
+        cluster.list_servers(1)
+        await asyncio.gather(leaving, return_exceptions=True)
+        placement, _ = await staying
+        return placement.server.id, node.waiting(), cluster.held()
+
+    assert asyncio.run(scene()) == ("s-0", 0, {"s-0": 1})
+
+
 @pytest.mark.parametrize(("gateways", "rate"), [(9, 36.0), (46, 17.0), (330, 17.0)])
 def test_cold_server_gets_no_more_than_its_rate_from_all_gateways(gateways, rate):
     # Each of 46 gateways sent one request a second, however small its share.
