Look at the deadline again right before a job is sent

On a busy machine SIGSTOP takes effect milliseconds after the signal; the agent admitted a request in between, and its worker sent it to the engine after a pause of 1.8 s though its time was 1.0 s. Only requests admitted after a pause were refused.

Ruled out: an unseen pause (both detectors logged it); a request read after the pause (the admission trace has it before PauseSeen).

Change: the worker ends a job whose deadline passed before it was sent, as DEADLINE_PASSED, or DEADLINE_EXCEEDED when it has tokens already.

--- a/packages/agent/eelgrassdale_agent/intake.py
+++ b/packages/agent/eelgrassdale_agent/intake.py
@@ -13,9 +13,10 @@
 from eelgrassdale_agent import metrics as names
 from eelgrassdale_agent.answers import Answer, BufferBudget
 from eelgrassdale_agent.gate import AdmissionGate
+from eelgrassdale_agent.jobs import Job, Task, prompt_of
 from eelgrassdale_agent.plain import PlainRequest
 from eelgrassdale_agent.streams import StreamTable
-from eelgrassdale_agent.work import Job, Task, Worker, prompt_of
+from eelgrassdale_agent.work import Worker
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
--- a/packages/agent/eelgrassdale_agent/tests/test_work.py
+++ b/packages/agent/eelgrassdale_agent/tests/test_work.py
@@ -13,7 +13,8 @@
 from eelgrassdale_agent.backend import BackendError
 from eelgrassdale_agent.engine import Token
 from eelgrassdale_agent.gate import AdmissionGate
-from eelgrassdale_agent.work import Job, Task, Worker
+from eelgrassdale_agent.jobs import Job, Task
+from eelgrassdale_agent.work import Worker
 
 WAIT_SECONDS = 10.0
 
@@ -214,6 +215,25 @@
     assert answer.finished.code == C.NO_BACKEND_SERVER
 
 
+def test_request_whose_deadline_passed_in_a_pause_is_not_sent():
+    # A request admitted right before a freeze was once sent to the engine after
+    # it, long past its deadline.
+    bench = Bench(Engine([tokens("a"), [end(1)]]))
+    answer = bench.run(seconds=-0.5)
+    assert bench.engine.asked == []
+    assert answer.finished.code == C.DEADLINE_PASSED
+    assert bench.gate.running() == 0
+
+
+def test_parked_answer_whose_deadline_passed_is_not_resumed():
+    bench = SlowReader([[end(1)]])
+    bench.job.deadline = bench.clock.monotonic() - 0.5
+    bench.read_all()
+    bench.wait(lambda: bench.answer.finished)
+    assert len(bench.engine.asked) == 1
+    assert bench.answer.finished.code == C.DEADLINE_EXCEEDED
+
+
 def test_other_model_version_gives_no_byte_and_stops_admission():
     bench = Bench(Engine([tokens("a"), [end(1)]], version="v2"))
     answer = bench.run()
--- a/packages/agent/eelgrassdale_agent/work.py
+++ b/packages/agent/eelgrassdale_agent/work.py
@@ -1,21 +1,20 @@
 """Runs admitted requests on the backend server, one thread for each."""
 
-import json
 import threading
 
 import structlog
-from attrs import define, frozen
 
 from eelgrassdale.admission import events as ev
 from eelgrassdale.clock import Clock
 from eelgrassdale.results import Ran, ResultCode, verdict_of
 from eelgrassdale.telemetry import Metrics, SpanKind, Tracer
 from eelgrassdale_agent import metrics as names
-from eelgrassdale_agent.answers import Answer, Finish, Space
+from eelgrassdale_agent.answers import Finish, Space
 from eelgrassdale_agent.backend import MAX_DETAIL_CHARACTERS, BackendError, Exchange
 from eelgrassdale_agent.engine import EngineClient, EngineStream, GenerateRequest, Token
 from eelgrassdale_agent.gate import AdmissionGate
-from eelgrassdale_agent.plain import PlainClient, PlainRequest
+from eelgrassdale_agent.jobs import Job, Task
+from eelgrassdale_agent.plain import PlainClient
 
 # Longest wait for one read from the backend server.
 READ_SECONDS = 30.0
@@ -25,52 +24,6 @@
 log = structlog.get_logger(__name__)
 
 
-@frozen(kw_only=True)
-class Task:
-    """What one admitted request asks of the backend server."""
-
-    request_id: str
-    attempt: int
-    traceparent: str
-    priority: int
-    is_model: bool
-    model_version: str
-    prompt: str
-    prompt_tokens: int
-    max_tokens: int
-    skip: bytes
-    call: PlainRequest | None
-    key: str
-
-    @property
-    def backend_id(self) -> str:
-        """Name of the request at the engine; attempts must not share one."""
-        return f"{self.request_id}.{self.attempt}"
-
-
-@define(kw_only=True, eq=False)
-class Job:
-    """One request between its admission and the end of its answer.
-
-    `tokens` counts the tokens received, `skipped` the bytes of them that the
-    caller had before. `stop_code` is set when the job has to end early;
-    `model_version` is the one that the engine states in its answer.
-    """
-
-    task: Task
-    answer: Answer
-    ticket: int
-    deadline: float
-    exchange: Exchange | None = None
-    epoch: int = 1
-    tokens: int = 0
-    skipped: int = 0
-    parked: bool = False
-    resuming: bool = False
-    stop_code: ResultCode | None = None
-    model_version: str = ""
-
-
 class Worker:
     """Starts, parks, resumes and stops jobs.
 
@@ -202,6 +155,9 @@
         run = self._run_model if task.is_model else self._run_plain
         if job.stop_code is not None:
             return Finish(code=job.stop_code)
+        # The process may have been paused since the job was admitted.
+        if self._clock.monotonic() >= job.deadline:
+            return Finish(code=_code_after_deadline(job))
         with (
             self._tracer.span(
                 SpanKind.AGENT,
@@ -370,6 +326,12 @@
             self._metrics.count(counter)
 
 
+def _code_after_deadline(job: Job) -> ResultCode:
+    if job.tokens:
+        return ResultCode.DEADLINE_EXCEEDED
+    return ResultCode.DEADLINE_PASSED
+
+
 def _counter_of(code: ResultCode) -> str:
     if code is ResultCode.OK:
         return names.REQUESTS_COMPLETED
@@ -378,21 +340,3 @@
     if code in (ResultCode.BACKEND_FAILED, ResultCode.NO_BACKEND_SERVER):
         return names.BACKEND_FAILURES
     return ""
-
-
-def prompt_of(body: bytes) -> str | None:
-    """Return the prompt of a request to a model service, None when malformed.
-
-    Examples
-    --------
-    >>> prompt_of(b'{"prompt": "lids", "max_tokens": 4}')
-    'lids'
-    >>> prompt_of(b"lids") is None
-    True
-
-    """
-    try:
-        prompt = json.loads(body)["prompt"]
-    except (ValueError, KeyError, TypeError):
-        return None
-    return prompt if isinstance(prompt, str) else None
--- a/packages/standins/eelgrassdale_standins/processes.py
+++ b/packages/standins/eelgrassdale_standins/processes.py
@@ -91,8 +91,15 @@
         self.wait(KILL_WAIT_SECONDS)
 
     def freeze(self) -> None:
-        """Stop the execution of the process until `resume`."""
-        self.signal(signal.SIGSTOP)
+        """Stop the execution of the process until `resume`.
+
+        Returns when all its threads stand: a busy machine lets some run for
+        milliseconds after the signal.
+        """
+        if self.exit_code is None:
+            self._child.send_signal(signal.SIGSTOP)
+            # WNOWAIT leaves an exit code to `exit_code`.
+            os.waitid(os.P_PID, self.pid, os.WSTOPPED | os.WEXITED | os.WNOWAIT)
 
     def resume(self) -> None:
         """Continue a frozen process."""
