Fetch the version before while the newest one's transfer stands still

Version 2 was named at 18.0 s and version 3 at 20.0 s; agents dropped the half fetched version 2 as soon as they had the digests of version 3, whose origin went down 0.5 s later for 6 s. Gateways held all of version 2.

Ruled out: slow loads (0.3 s with no streams running) and slow transfers (4.4 s once the origin was back).

Change: a transfer without a new chunk for 1 s makes way for the other version that is missing chunks, and takes its turn again when that one stands still or is whole. A superseded version keeps its chunks. The decisions move from keeper.py to versions.py. The farm of the tests has slow links and gateways that fetch ahead.

Before: test_version_is_finished_while_the_origin_gives_only_digests_of_the_next fails (no engine gets version 2 within 30 s). After: it passes, and a version whose transfer moves is still fetched first.

--- a/packages/gateway/eelgrassdale_gateway/staging/keeper.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/keeper.py
@@ -6,10 +6,11 @@
 """
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable, Collection, Mapping
 
 import structlog
-from attrs import define, field, frozen
+from attrs import frozen
 
 from eelgrassdale.clock import Clock
 from eelgrassdale_gateway.staging.chunks import ChunkSet
@@ -23,17 +24,17 @@
 )
 from eelgrassdale_gateway.staging.fetching import Fetcher
 from eelgrassdale_gateway.staging.turns import load_at, turn_of
+from eelgrassdale_gateway.staging.versions import HeldVersions, Transfer
 
 POLL_SECONDS = 0.5
 LOADING_POLL_SECONDS = 0.1
 RETRY_SECONDS = 0.3
 # Time for gateways to hear that the engine takes no new work for now.
 CLOSE_NOTICE_SECONDS = 0.03
-# A transfer that is further is ended before a newer version is fetched.
-KEEP_FETCHING_SHARE = 0.5
-# Versions held in memory for each model: one to load or serve to peers, and
-# the one that is being fetched.
-MAX_SETS = 2
+# A transfer without a new chunk for this time makes way for another version.
+# While its source answers, chunks follow each other within 0.2 s on the
+# slowest links.
+STALL_SECONDS = 1.0
 
 log = structlog.get_logger(__name__)
 
@@ -50,57 +51,6 @@
     version_grace: float = 6.5
 
 
-@define(kw_only=True)
-class _Named:
-    version: int
-    at: float
-
-
-@define(kw_only=True)
-class _Model:
-    """Versions of one model, oldest first, and the sets held of them."""
-
-    named: list[_Named] = field(factory=list)
-    sets: dict[int, ChunkSet] = field(factory=dict)
-
-    @property
-    def newest(self) -> int:
-        return self.named[-1].version if self.named else 0
-
-    def named_at(self, version: int) -> float:
-        return next(named.at for named in self.named if named.version == version)
-
-    def whole(self) -> ChunkSet | None:
-        whole = [version for version, held in self.sets.items() if held.is_whole]
-        return self.sets[max(whole)] if whole else None
-
-    def is_wanted(self, chunks: ChunkSet) -> bool:
-        """Return whether a version is worth fetching.
-
-        An older one is, while the origin does not give the newest, or once
-        most of it is there.
-        """
-        version = chunks.manifest.version
-        if version == self.newest or self.newest not in self.sets:
-            return True
-        if len(self.named) < 2 or version != self.named[-2].version:
-            return False
-        return chunks.count > KEEP_FETCHING_SHARE * chunks.manifest.count
-
-    def next_to_fetch(self, loaded: int) -> ChunkSet | None:
-        """Return the oldest set that is missing chunks and still wanted."""
-        for version in sorted(self.sets):
-            chunks = self.sets[version]
-            if version > loaded and not chunks.is_whole and self.is_wanted(chunks):
-                return chunks
-        return None
-
-    def keep(self, chunks: ChunkSet) -> None:
-        self.sets[chunks.manifest.version] = chunks
-        for version in sorted(self.sets)[:-MAX_SETS]:
-            del self.sets[version]
-
-
 class Keeper:
     """Fetches, stages and loads; used from the event loop's thread only.
 
@@ -137,7 +87,7 @@
         self._neighbours = neighbours
         self._announce = announce
         self._before_transfer = before_transfer
-        self._models: dict[str, _Model] = {}
+        self._models: dict[str, HeldVersions] = {}
         self._state = EngineState()
         self._engine_seen = False
         self._changed = asyncio.Event()
@@ -146,9 +96,8 @@
         """Note the named version of each model."""
         now = self._clock.monotonic()
         for name, version in versions.items():
-            model = self._models.setdefault(name, _Model())
-            if version > model.newest:
-                model.named.append(_Named(version=version, at=now))
+            model = self._models.setdefault(name, HeldVersions())
+            if model.name(version, now=now):
                 log.info("model version named", model=name, version=version)
         self._notify()
 
@@ -199,7 +148,7 @@
             if chunks is not None and self._needs(name, model):
                 await self._fetch(model, chunks)
 
-    def _needs(self, name: str, model: _Model) -> bool:
+    def _needs(self, name: str, model: HeldVersions) -> bool:
         loaded = self._state.versions.get(name, 0)
         return self._engine_seen and loaded < model.newest
 
@@ -216,25 +165,43 @@
         except EngineUnavailable as exc:
             log.info("staged chunks not read", reason=str(exc))
 
-    async def _fetch(self, model: _Model, chunks: ChunkSet) -> None:
-        version = chunks.manifest.version
+    async def _fetch(self, model: HeldVersions, chunks: ChunkSet) -> None:
         begun_at = self._clock.monotonic()
         try:
-            is_whole = await self._fetcher.fetch(
-                chunks, lambda: model.is_wanted(chunks)
-            )
+            outcome = await self._fetch_while_moving(model, chunks)
         except* VersionGone:
-            is_whole = False
+            outcome = Transfer.USELESS
         log.info(
             "transfer ended",
             version=chunks.manifest.key,
-            is_whole=is_whole,
+            is_whole=chunks.is_whole,
+            outcome=outcome.value,
+            held=chunks.count,
             seconds=round(self._clock.monotonic() - begun_at, 3),
         )
-        if not is_whole and model.sets.get(version) is chunks:
-            del model.sets[version]
+        if outcome is Transfer.USELESS:
+            model.drop(chunks)
         self._notify()
 
+    async def _fetch_while_moving(
+        self, model: HeldVersions, chunks: ChunkSet
+    ) -> Transfer:
+        """Fetch until the set is whole or gives way to another version."""
+        fetching = asyncio.ensure_future(
+            self._fetcher.fetch(chunks, lambda: model.is_wanted(chunks))
+        )
+        held = -1
+        try:
+            while chunks.count > held or not model.may_give_way(chunks):
+                held = chunks.count
+                await asyncio.wait({fetching}, timeout=STALL_SECONDS)
+                if fetching.done():
+                    return _outcome(model, chunks, is_whole=fetching.result())
+            model.stalled = chunks.manifest.version
+            return Transfer.STALLED
+        finally:
+            await _cancel(fetching)
+
     async def _load_step(self) -> None:
         try:
             state = await self._engine.state()
@@ -255,7 +222,7 @@
                 await self._load(chunks)
 
     async def _is_my_turn(
-        self, model: _Model, chunks: ChunkSet, *, is_empty: bool
+        self, model: HeldVersions, chunks: ChunkSet, *, is_empty: bool
     ) -> bool:
         named_at = model.named_at(chunks.manifest.version)
         at = load_at(
@@ -326,3 +293,16 @@
         except EngineUnavailable:
             return
         self._announce(not state.is_busy, model, state.versions.get(model, 0))
+
+
+def _outcome(model: HeldVersions, chunks: ChunkSet, *, is_whole: bool) -> Transfer:
+    if is_whole:
+        return Transfer.WHOLE
+    # A transfer of a wanted version ends early when its digests are in doubt.
+    return Transfer.USELESS if model.is_wanted(chunks) else Transfer.SUPERSEDED
+
+
+async def _cancel(fetching: "asyncio.Future[bool]") -> None:
+    fetching.cancel()
+    with contextlib.suppress(asyncio.CancelledError, ExceptionGroup):
+        await fetching
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/farm.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/farm.py
@@ -22,21 +22,27 @@
 
 MODEL = "m"
 COUNT = 12
+# Several slices of a paced answer, so that a slow link slows a transfer.
+CHUNK_PAIRS = 24_000
 
 
 def weights(version: int) -> list[bytes]:
     """Return the chunks of a version."""
-    return [bytes([version, index]) * 500 for index in range(COUNT)]
+    return [bytes([version, index]) * CHUNK_PAIRS for index in range(COUNT)]
 
 
 @define(kw_only=True, eq=False, slots=False)
 class FakeOrigin:
-    """Serves the newest versions; `spoil` damages the next reads of a chunk."""
+    """Serves the newest versions; `spoil` damages the next reads of a chunk.
+
+    With `gives_manifests_only`, reads of chunks fail.
+    """
 
     newest: int = 2
     reads: int = 0
     spoil: dict[int, int] = field(factory=dict)
     is_down: bool = False
+    gives_manifests_only: bool = False
     delay: float = 0.0
 
     async def manifest(self, model: str, version: int) -> WeightsManifest:
@@ -47,6 +53,8 @@
     async def chunk(self, model: str, version: int, index: int) -> bytes:
         """Return a chunk, damaged while `spoil` says so."""
         self._check(version)
+        if self.gives_manifests_only:
+            raise SourceUnavailable("origin gives manifests only")
         await asyncio.sleep(self.delay)
         self.reads += 1
         if self.spoil.get(index, 0) > 0:
@@ -121,14 +129,22 @@
 
 
 class Farm:
-    """Two gateways and two agents in each of three data centres."""
+    """Two gateways and two agents in each of three data centres.
+
+    Parameters
+    ----------
+    link_bytes_per_second : float
+        Link of each agent; 0 for no limit.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, *, link_bytes_per_second: float = 0.0) -> None:
+        self._link = link_bytes_per_second
         self.origin = FakeOrigin()
         self.gateways: dict[str, GatewayPlace] = {}
         self.engines: dict[str, FakeEngine] = {}
         self.notices: list[tuple[str, bool, int]] = []
         self.keepers: dict[str, Keeper] = {}
+        self._relays: list[ChunkRelay] = []
         self._tasks: list[asyncio.Future] = []
         self._servers: dict[str, HttpServer] = {}
 
@@ -162,6 +178,7 @@
             )
         )
         self.gateways[name] = place
+        self._relays.append(relays[0])
         self._servers[name] = server
 
     def _start_agent(self, name: str, region: str) -> None:
@@ -175,7 +192,7 @@
                 clock=SystemClock(),
                 gateways=lambda: list(self.gateways.values()),
                 origin=lambda: self.origin,
-                link_bytes_per_second=0.0,
+                link_bytes_per_second=self._link,
             ),
             clock=SystemClock(),
             neighbours=lambda: [n for n in self.engines if n[0] == name[0]],
@@ -186,6 +203,12 @@
         )
         self._tasks.append(asyncio.ensure_future(keeper.run()))
 
+    async def prefetch(self, version: int) -> None:
+        """Bring a version to the gateways."""
+        async with asyncio.TaskGroup() as group:
+            for relay in self._relays:
+                group.create_task(relay.prefetch(MODEL, version))
+
     def name_version(self, version: int) -> None:
         """Name a version to all agents."""
         self.origin.newest = max(self.origin.newest, version)
@@ -219,11 +242,11 @@
 DATA_CENTRES = {"a": "north", "b": "south", "c": "west"}
 
 
-def play(scene):
+def play(scene, **values):
     """Run a scene with a farm whose engines hold version 1."""
 
     async def run():
-        farm = Farm()
+        farm = Farm(**values)
         await farm.start()
         try:
             async with asyncio.timeout(30):
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/test_keeper.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/test_keeper.py
@@ -4,9 +4,13 @@
 
 from attrs import evolve
 
-from eelgrassdale_gateway.staging.tests.farm import COUNT, play, weights
+from eelgrassdale_gateway.staging.tests.farm import CHUNK_PAIRS, COUNT, play, weights
 from eelgrassdale_gateway.staging.turns import load_at, turn_of
 
+# A transfer takes 1.5 s or more.
+SLOW_LINK = 2 * COUNT * CHUNK_PAIRS / 1.5
+QUARTER_SECONDS = 0.4
+
 
 def all_loads_right(farm):
     return all(
@@ -172,3 +176,54 @@
         return all_loads_right(farm)
 
     assert play(scene)
+
+
+def test_version_is_finished_while_the_origin_gives_only_digests_of_the_next():
+    """Agents dropped a version that gateways held, for one whose transfer stood.
+
+    Its origin had gone down right after it gave the digests of the next, and
+    no engine served from the moment at which the old version expired.
+    """
+
+    async def scene(farm):
+        await farm.prefetch(2)
+        farm.name_version(2)
+        await asyncio.sleep(QUARTER_SECONDS)
+        farm.origin.gives_manifests_only = True
+        farm.name_version(3)
+        await farm.wait_for(2)
+        farm.origin.gives_manifests_only = False
+        await farm.wait_for(3)
+        return all_loads_right(farm)
+
+    assert play(scene, link_bytes_per_second=SLOW_LINK)
+
+
+def test_newer_version_is_fetched_first_while_its_transfer_moves():
+    """Finishing an older version first would load each engine twice."""
+
+    async def scene(farm):
+        await farm.prefetch(2)
+        farm.name_version(2)
+        await asyncio.sleep(QUARTER_SECONDS)
+        farm.name_version(3)
+        await farm.wait_for(3)
+        return {version for e in farm.engines.values() for version, _ in e.loaded}
+
+    assert play(scene, link_bytes_per_second=SLOW_LINK) == {3}
+
+
+def test_transfers_that_both_stand_still_go_on_when_the_origin_returns():
+    async def scene(farm):
+        farm.origin.delay = 0.05
+        farm.name_version(2)
+        while farm.origin.reads < COUNT // 2:
+            await asyncio.sleep(0.002)
+        farm.origin.gives_manifests_only = True
+        farm.name_version(3)
+        await asyncio.sleep(4.0)
+        farm.origin.gives_manifests_only = False
+        await farm.wait_for(3)
+        return all_loads_right(farm)
+
+    assert play(scene, link_bytes_per_second=SLOW_LINK)
