Divide an engine that just opened among gateways; skip short-lived versions

Version 2 was whole 0.8 s before gateways stopped sending to it; the first engine that had loaded it got one request from each of 46 gateways, and with 12 slots some waited there for 1.2 s. A transfer that stood still was also noticed after 3 s instead of 1 s.

Ruled out: gateways that sent too late (the requests were sent at 26.8 s, the limit was 27.0 s).

Change: for 0.5 s after an engine opened in a gateway's view, the gateway sends it no more than its part of the slots; parts add up to the slots over all gateways. An agent does not load a version that a newer one replaces within 1.5 s. Progress of a transfer is looked at every 0.25 s.

--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -15,14 +15,16 @@
 from eelgrassdale_gateway.loads import LoadBook, Work
 from eelgrassdale_gateway.model import BackendServer, Service
 from eelgrassdale_gateway.notices import NoticeBook
+from eelgrassdale_gateway.openings import OpeningBook
 from eelgrassdale_gateway.placing import (
+    EXTRA_REQUESTS,
     Candidate,
     Placement,
     answer_seconds,
     least_seconds,
     place,
 )
-from eelgrassdale_gateway.shares import Sharers, share_of_rate
+from eelgrassdale_gateway.shares import Sharers, share_of_count, share_of_rate
 from eelgrassdale_gateway.waiting import Waiter, in_order, is_late, refusal_of
 
 # Waiting requests are looked at again this often without another cause.
@@ -85,7 +87,8 @@
         self._queues: dict[str, list[_Queued]] = defaultdict(list)
         self._cold_sends: dict[str, deque[float]] = defaultdict(deque)
         self._ticker: asyncio.TimerHandle | None = None
-        fleet.subscribe(self.pump)
+        self._openings = OpeningBook()
+        fleet.subscribe(self._take_fleet)
 
     async def place(self, waiter: Waiter) -> tuple[Placement, Work]:
         """Return where a request goes, and its entry in the loads.
@@ -126,6 +129,10 @@
         for service in list(self._queues):
             self._pump_service(service)
 
+    def _take_fleet(self) -> None:
+        self._openings.forget_others(self._fleet.servers.keys())
+        self.pump()
+
     def _give_back(self, queued: _Queued) -> None:
         queue = self._queues[queued.waiter.service]
         if queued in queue:
@@ -186,6 +193,7 @@
                 self._candidate(server, now)
                 for server in servers
                 if self._bears_cold(server, service, now)
+                and self._bears_opening(server, service, now)
             ],
             tokens=waiter.tokens,
             rng=self._rng,
@@ -233,6 +241,9 @@
             if not self.notices.is_closed(server.address, now=now)
             and self._version_at(server, waiter.model, now) >= lowest
         ]
+        self._openings.note(
+            listed=[s.id for s in servers], usable={s.id for s in usable}, now=now
+        )
         return [s for s in usable if s.id not in waiter.excluded] or usable
 
     def _version_at(self, server: BackendServer, model: str, now: float) -> int:
@@ -242,6 +253,18 @@
         listed = server.versions.get(model, 0)
         return max(listed, self.notices.version_at(server.address, model, now=now))
 
+    def _bears_opening(
+        self, server: BackendServer, service: Service, now: float
+    ) -> bool:
+        """Return whether this node's part of an engine that just opened is free."""
+        if service.engine is None or not self._openings.is_new(server.id, now=now):
+            return True
+        return self.loads.own_requests(server.id) < share_of_count(
+            max(server.slots, 1) + EXTRA_REQUESTS,
+            subject=server.id,
+            sharers=self._sharers(),
+        )
+
     def _bears_cold(self, server: BackendServer, service: Service, now: float) -> bool:
         """Return whether this node may send a cold server one more request now."""
         if now >= server.cold_until or not service.cold_rate:
--- a/packages/gateway/eelgrassdale_gateway/loads.py
+++ b/packages/gateway/eelgrassdale_gateway/loads.py
@@ -94,6 +94,10 @@
         """Drop the report of a peer that is gone."""
         self._reports.pop(peer, None)
 
+    def own_requests(self, server: str) -> int:
+        """Return the number of open requests of this node at a backend server."""
+        return self._own.get(server, Load()).requests
+
     def own_loads(self) -> Mapping[str, Load]:
         """Return the open work of this node by backend server."""
         return dict(self._own)
--- a/packages/gateway/eelgrassdale_gateway/shares.py
+++ b/packages/gateway/eelgrassdale_gateway/shares.py
@@ -70,6 +70,24 @@
     return 1.0 if sharers.me in chosen else 0.0
 
 
+def share_of_count(count: int, *, subject: str, sharers: Sharers) -> int:
+    """Return this node's part of a number of things at one subject.
+
+    The parts of all nodes add up to `count`; what cannot be divided goes to
+    nodes chosen by the subject's name.
+
+    Examples
+    --------
+    >>> group = frozenset("abc")
+    >>> nodes = [Sharers(me=name, members=group) for name in "abc"]
+    >>> sorted(share_of_count(7, subject="s-1", sharers=node) for node in nodes)
+    [2, 2, 3]
+
+    """
+    each, rest = divmod(count, sharers.count)
+    return each + (sharers.me in _chosen(subject, sharers.members, rest))
+
+
 # One entry for each cold backend server and change of membership.
 @lru_cache(maxsize=512)
 def _chosen(subject: str, members: frozenset[str], count: int) -> frozenset[str]:
--- a/packages/gateway/eelgrassdale_gateway/staging/keeper.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/keeper.py
@@ -36,6 +36,11 @@
 # While its source answers, chunks follow each other within 0.2 s on the
 # slowest links.
 STALL_SECONDS = 1.0
+STALL_POLL_SECONDS = 0.25
+# A version that a newer one replaces sooner than this is not loaded any more: a
+# load takes 0.3 s or more, and requests that wait at the engine could begin
+# after the newer version became binding.
+MIN_SERVING_SECONDS = 1.5
 
 log = structlog.get_logger(__name__)
 
@@ -194,13 +199,17 @@
         fetching = asyncio.ensure_future(
             self._fetcher.fetch(chunks, lambda: model.is_wanted(chunks))
         )
-        held = -1
+        held, moved_at = chunks.count, self._clock.monotonic()
         try:
-            while chunks.count > held or not model.may_give_way(chunks):
-                held = chunks.count
-                await asyncio.wait({fetching}, timeout=STALL_SECONDS)
+            while not (
+                self._clock.monotonic() - moved_at >= STALL_SECONDS
+                and model.may_give_way(chunks)
+            ):
+                await asyncio.wait({fetching}, timeout=STALL_POLL_SECONDS)
                 if fetching.done():
                     return _outcome(model, chunks, is_whole=fetching.result())
+                if chunks.count > held:
+                    held, moved_at = chunks.count, self._clock.monotonic()
             model.stalled = chunks.manifest.version
             return Transfer.STALLED
         finally:
@@ -221,9 +230,17 @@
             loaded = state.versions.get(name, 0)
             if chunks is None or chunks.manifest.version <= loaded:
                 continue
+            if not self._may_serve_long(model, chunks):
+                continue
             if await self._is_my_turn(model, chunks, is_empty=not loaded):
                 await self._load(chunks)
 
+    def _may_serve_long(self, model: HeldVersions, chunks: ChunkSet) -> bool:
+        if chunks.manifest.version == model.newest:
+            return True
+        binding_at = model.named_at(model.newest) + self._cfg.version_grace
+        return binding_at - self._clock.monotonic() >= MIN_SERVING_SECONDS
+
     async def _is_my_turn(
         self, model: HeldVersions, chunks: ChunkSet, *, is_empty: bool
     ) -> bool:
