--- a/packages/measures/eelgrassdale_measures/__main__.py
+++ b/packages/measures/eelgrassdale_measures/__main__.py
@@ -18,6 +18,7 @@
     "configuration_spread",
     "state_size",
     "failure_detection",
+    "logging_cost",
 )
 
 
