Drop a verdict on a member that recent contact overrules

Cause: a hint that a member is dead was kept although this node had heard from the member less than 3 s before. It took effect at the next event once that contact was older, even at a message of an earlier incarnation.

Change: such a hint is not stored. The other node repeats it while it holds, so a member that is really gone is still marked dead.

--- a/packages/core/eelgrassdale/membership/table.py
+++ b/packages/core/eelgrassdale/membership/table.py
@@ -174,11 +174,21 @@
         return found[:DEAD_DIGEST_LIMIT]
 
     def apply_dead_digest(self, digest: Iterable[str]) -> None:
-        """Record the verdicts of another entry node as hints."""
+        """Record the verdicts of another entry node as hints.
+
+        A verdict on a member with recent direct contact is dropped, not kept for
+        later: the other node repeats it while it holds.
+        """
         with self._lock:
-            expires_at = self._clock.monotonic() + HINT_LIFETIME_SECONDS
-            hints = _parse_digest(digest, expires_at)
-            hints = {n: h for n, h in hints.items() if n in self._vm_list.entries}
+            now = self._clock.monotonic()
+            hints = {
+                name: hint
+                for name, hint in _parse_digest(
+                    digest, now + HINT_LIFETIME_SECONDS
+                ).items()
+                if name in self._vm_list.entries
+                and not _has_recent_contact(self.health(name), now)
+            }
             self._hints.update(hints)
             self._refresh(hints)
 
@@ -229,10 +239,16 @@
             self._vm_list.entries[name],
             self.health(name),
             self._hints.get(name),
-            self._clock.monotonic(),
         )
 
 
+def _has_recent_contact(health: Health, now: float) -> bool:
+    return (
+        health.last_contact_at is not None
+        and now - health.last_contact_at < RECENT_CONTACT_SECONDS
+    )
+
+
 def _parse_digest(digest: Iterable[str], expires_at: float) -> dict[str, DeadHint]:
     hints = {}
     for text in list(digest)[:DEAD_DIGEST_LIMIT]:
@@ -243,7 +259,7 @@
 
 
 def _resolve_member(
-    entry: VmListEntry, health: Health, hint: DeadHint | None, now: float
+    entry: VmListEntry, health: Health, hint: DeadHint | None
 ) -> Member:
     return Member(
         name=entry.name,
@@ -252,30 +268,22 @@
         region=entry.region,
         node_address=entry.node_address,
         caller_address=entry.caller_address,
-        state=resolve_state(entry, health, hint, now),
+        state=resolve_state(entry, health, hint),
         incarnation=health.incarnation,
     )
 
 
 def resolve_state(
-    entry: VmListEntry, health: Health, hint: DeadHint | None, now: float
+    entry: VmListEntry, health: Health, hint: DeadHint | None
 ) -> MemberState:
     """Return the state that follows from VM list, direct contact and hints.
 
     Direct failures take precedence. Next is a hint about the known or a later
-    incarnation, unless there was recent direct contact, and then leaving.
+    incarnation, and then leaving.
     """
     if health.state is not MemberState.ALIVE:
         return health.state
-    has_recent_contact = (
-        health.last_contact_at is not None
-        and now - health.last_contact_at < RECENT_CONTACT_SECONDS
-    )
-    if (
-        hint is not None
-        and not has_recent_contact
-        and hint.incarnation >= health.incarnation
-    ):
+    if hint is not None and hint.incarnation >= health.incarnation:
         return MemberState.DEAD
     if entry.is_leaving or health.leaving:
         return MemberState.LEAVING
--- a/packages/core/eelgrassdale/membership/tests/test_table.py
+++ b/packages/core/eelgrassdale/membership/tests/test_table.py
@@ -11,6 +11,7 @@
 from eelgrassdale.membership.table import (
     DEAD_DIGEST_LIMIT,
     HINT_LIFETIME_SECONDS,
+    RECENT_CONTACT_SECONDS,
     MembershipTable,
 )
 from eelgrassdale.telemetry import InvariantMonitor, Metrics
@@ -130,6 +131,27 @@
     assert harness.state() is MemberState.ALIVE
 
 
+def test_overruled_hint_has_no_effect_later(harness):
+    """Guards against an outdated message that makes a live member DEAD.
+
+    A hint that recent contact had overruled took effect at the next event, once
+    that contact was no longer recent.
+    """
+    harness.table.record_contact("a1", incarnation=1)
+    harness.table.apply_dead_digest(["a1@1"])
+    harness.clock.advance(seconds=RECENT_CONTACT_SECONDS)
+    harness.table.record_contact("a1", incarnation=0)
+    assert harness.state() is MemberState.ALIVE
+
+
+def test_repeated_hint_takes_effect_without_recent_contact(harness):
+    harness.table.record_contact("a1", incarnation=1)
+    harness.table.apply_dead_digest(["a1@1"])
+    harness.clock.advance(seconds=RECENT_CONTACT_SECONDS)
+    harness.table.apply_dead_digest(["a1@1"])
+    assert harness.state() is MemberState.DEAD
+
+
 def test_hints_are_not_passed_on(harness):
     """Guards against two nodes that renew each other's verdict for ever."""
     harness.table.apply_dead_digest(["a1@0"])
