Issue keys of an agent as soon as it reports that it accepts work

Cause: the list of agents for new keys was made every 0.25 s. One made between the first reports of two agents lacked the second for that time, so all keys named one agent.

Change: the list is made anew when an agent's report changes what it accepts.

--- a/packages/entry/eelgrassdale_entry/agents.py
+++ b/packages/entry/eelgrassdale_entry/agents.py
@@ -48,6 +48,17 @@
     last_reached: bool | None = None
     contact_reported_at: float = 0.0
 
+    @property
+    def accepted_work(self) -> tuple[int, frozenset[str]]:
+        """The incarnation, and the services whose new work it accepts."""
+        accepted = frozenset() if self.is_unresponsive else self._accepted_by_headroom()
+        return self.incarnation, accepted
+
+    def _accepted_by_headroom(self) -> frozenset[str]:
+        return frozenset(
+            service for service, headroom in self.headroom.items() if headroom.accepting
+        )
+
     def should_report_contact(self, reached: bool, now: float) -> bool:
         """Return whether to report this reachability to the members.
 
--- a/packages/entry/eelgrassdale_entry/dispatcher.py
+++ b/packages/entry/eelgrassdale_entry/dispatcher.py
@@ -52,7 +52,8 @@
 # A queued request of this age fails if its service has no usable agent. Until then
 # a member may still appear, for instance after this node started.
 NO_SERVER_TIMEOUT_SECONDS = 1.0
-# Interval at which the lists of agents for which keys are issued are refreshed.
+# Interval at which the lists of agents for which keys are issued are refreshed, also
+# when no agent reported a change of what it accepts.
 KEY_AGENTS_REFRESH_SECONDS = 0.25
 MESSAGES_PER_TURN = 256
 # Queued requests per service that are skipped in one turn because no backend server
@@ -348,7 +349,10 @@
         agent = self._agents.get(message.agent)
         if agent is None:
             return
+        accepted_work_before = agent.accepted_work
         self._agents.record_report(agent, message.incarnation, message.headroom)
+        if agent.accepted_work != accepted_work_before:
+            self._refresh_key_agents()
         if message.from_poll and agent.should_report_contact(True, self._now()):
             # Counts as a successful probe, so that the runtime need not send one.
             self._context.members.report_reachability(message.agent, True)
@@ -372,17 +376,19 @@
         for tracked in list(self._tracked.values()):
             self._check_deadlines(tracked, now)
         if now >= self._next_key_agents_at:
-            self._next_key_agents_at = now + KEY_AGENTS_REFRESH_SECONDS
-            cfg = self._context.replica.current()
-            self._key_agents = {
-                name: agents_for_new_keys(self._agents, cfg, name)
-                for name in cfg.services
-            }
+            self._refresh_key_agents()
         for name, state in self._services.items():
             if len(state.queue):
                 self._agents.request_headroom(name)
         self._agents.close_unused()
 
+    def _refresh_key_agents(self) -> None:
+        self._next_key_agents_at = self._now() + KEY_AGENTS_REFRESH_SECONDS
+        cfg = self._context.replica.current()
+        self._key_agents = {
+            name: agents_for_new_keys(self._agents, cfg, name) for name in cfg.services
+        }
+
     def _check_deadlines(self, tracked: TrackedRequest, now: float) -> None:
         req = tracked.request
         if tracked.current is not None:
--- a/packages/entry/eelgrassdale_entry/tests/test_keyagents.py
+++ b/packages/entry/eelgrassdale_entry/tests/test_keyagents.py
@@ -4,6 +4,7 @@
 
 from eelgrassdale.results import ResultCode
 from eelgrassdale.routing.keys import IssuedKey, format_key, parse_key
+from eelgrassdale_entry import dispatcher
 from eelgrassdale_entry.tests.harness import (
     AgentScript,
     FakeAgent,
@@ -81,6 +82,25 @@
     assert error["ran"] == "may have run"
 
 
+def test_keys_name_an_agent_as_soon_as_it_reported(monkeypatch):
+    """Guards against keys of one agent only after the other had reported too.
+
+    The list of agents for keys was made at intervals, and one made between the
+    first reports of two agents lacked the second.
+    """
+    monkeypatch.setattr(dispatcher, "KEY_AGENTS_REFRESH_SECONDS", 3600.0)
+    agents = [
+        FakeAgent(name=name, data_centre="n1", service="desk") for name in ("d1", "d2")
+    ]
+    with entry_node(agents) as node:
+        wait_until(
+            lambda: (
+                {parse_key(text).ok.agent for text in node.keys("desk", 4)}
+                == {"d1", "d2"}
+            )
+        )
+
+
 def test_key_of_an_unknown_or_stopped_agent_is_unreachable():
     agents = [
         FakeAgent(name=name, data_centre="n1", service="desk") for name in ("d1", "d2")
