Place waiting requests at a cost that does not grow with waiters times servers

Cause: each start and end of a response, each heartbeat of a peer and each tick made the dispatcher look at every backend server for every waiting request, and the load of a server was summed over the reports of all peers each time.

Ruled out: the queue's order; sorting the waiting requests is a small part.

Change: one pass over a queue looks up the servers once for each model and set of regions (candidates), and only those with capacity are offered to each request. The sum of the peers' reports is kept up to date. A heartbeat starts no pass, since the next tick does. An event concerns only the queue of its server's service. The set of gateways that share limits is made when it changes. Tables no longer keep entries of servers that are gone.

--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/candidates.py
@@ -0,0 +1,66 @@
+"""Backend servers that may take requests of one service, during one pass.
+
+A pass over the queue of a service places several requests. The servers that may run
+them, and their loads, are looked up once for each model and set of regions, not once
+for each request, so that the cost of a pass grows with the requests that are placed,
+and not with the product of waiting requests and servers.
+"""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from eelgrassdale_gateway.model import Service
+from eelgrassdale_gateway.placement import (
+    Candidate,
+    preferred_candidates,
+    request_limit,
+)
+
+
+@define(kw_only=True)
+class CandidateGroup:
+    """The servers for the requests of one model that allow the same regions.
+
+    `has_servers` is true if any server may run the requests, now or soon. `usable`
+    are the ids of the servers that accept requests and hold a version that may
+    serve, `candidates` those of them that may get one more request now, by id.
+    """
+
+    service: Service
+    has_servers: bool
+    usable: frozenset[str]
+    candidates: dict[str, Candidate]
+    _open: list[Candidate] | None = field(default=None, init=False)
+
+    def open_candidates(self, excluded: frozenset[str]) -> list[Candidate]:
+        """Return the candidates among which one request is placed.
+
+        Those without capacity for any request are left out, and so are avoided ones
+        unless all are avoided. Servers in `excluded` are returned only if no other is
+        usable.
+        """
+        if excluded and not self.usable <= excluded:
+            return self._select_open(
+                c for c in self.candidates.values() if c.server.id not in excluded
+            )
+        if self._open is None:
+            self._open = self._select_open(self.candidates.values())
+        return self._open
+
+    def replace(self, server_id: str, candidate: Candidate | None) -> None:
+        """Replace a candidate whose load changed; None removes it."""
+        if server_id not in self.candidates:
+            return
+        if candidate is None:
+            del self.candidates[server_id]
+        else:
+            self.candidates[server_id] = candidate
+        self._open = None
+
+    def _select_open(self, candidates: Iterable[Candidate]) -> list[Candidate]:
+        return [
+            c
+            for c in preferred_candidates(candidates)
+            if c.load.requests < request_limit(self.service, c.server)
+        ]
--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -6,11 +6,12 @@
 from random import Random
 
 import structlog
-from attrs import define
+from attrs import define, field
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.results import ResultCode
 from eelgrassdale_gateway.availability import AvailabilityTracker
+from eelgrassdale_gateway.candidates import CandidateGroup
 from eelgrassdale_gateway.health import HealthTracker
 from eelgrassdale_gateway.loads import InFlightRequest, LoadTracker
 from eelgrassdale_gateway.model import BackendServer, Service
@@ -48,6 +49,15 @@
     fut: "asyncio.Future[tuple[Placement, InFlightRequest]]"
 
 
+@define(kw_only=True)
+class _DispatchPass:
+    """Time and candidates of one pass over a queue."""
+
+    now: float
+    peer_count: int
+    groups: dict[tuple[str, frozenset[str]], CandidateGroup] = field(factory=dict)
+
+
 class Dispatcher:
     """Queues requests and places them on backend servers.
 
@@ -92,7 +102,9 @@
         self._cold_send_times: dict[str, deque[float]] = defaultdict(deque)
         self._tick_timer: asyncio.TimerHandle | None = None
         self._availability = AvailabilityTracker()
+        self._servers_by_service: dict[str, list[BackendServer]] = {}
         routing_state.subscribe(self._on_routing_state_change)
+        self._on_routing_state_change()
 
     async def place(self, waiter: Waiter) -> tuple[Placement, InFlightRequest]:
         """Wait for a backend server; return the placement and its load entry.
@@ -119,12 +131,17 @@
     def record_response_start(self, in_flight: InFlightRequest) -> None:
         """Record that the response has begun, so the prompt is no longer pending."""
         self.loads.record_response_start(in_flight)
-        self.dispatch_waiting()
+        self._dispatch_for_server(in_flight.server)
 
     def record_end(self, in_flight: InFlightRequest) -> None:
         """Remove a request from the loads after its attempt."""
         self.loads.record_end(in_flight)
-        self.dispatch_waiting()
+        self._dispatch_for_server(in_flight.server)
+
+    def latest_start(self, server: BackendServer, model: str) -> float:
+        """Return until when a request of a model may begin at a backend server."""
+        version = self._loaded_version(server, model, self._clock.monotonic())
+        return self._routing_state.latest_start(model, version)
 
     def waiting_count(self) -> int:
         """Return the number of waiting requests."""
@@ -135,8 +152,26 @@
         for service in list(self._queues):
             self._dispatch_queue(service)
 
+    def _dispatch_for_server(self, server_id: str) -> None:
+        """Place waiting requests of the service of a server that has more capacity."""
+        server = self._routing_state.servers.get(server_id)
+        if server is not None:
+            self._dispatch_queue(server.service)
+
     def _on_routing_state_change(self) -> None:
-        self._availability.retain(self._routing_state.servers.keys())
+        servers = self._routing_state.servers
+        self._availability.retain(servers.keys())
+        self.loads.retain(servers.keys())
+        self.notices.retain(
+            {server.address for server in servers.values()},
+            now=self._clock.monotonic(),
+        )
+        for server_id in self._cold_send_times.keys() - servers.keys():
+            del self._cold_send_times[server_id]
+        by_service: dict[str, list[BackendServer]] = {}
+        for server in servers.values():
+            by_service.setdefault(server.service, []).append(server)
+        self._servers_by_service = by_service
         self.dispatch_waiting()
 
     def _withdraw(self, queued: _QueuedRequest) -> None:
@@ -153,9 +188,19 @@
         if not queue:
             return
         now = self._clock.monotonic()
+        dispatch_pass = _DispatchPass(
+            now=now, peer_count=self._live_gateway_count() - 1
+        )
         by_waiter = {queued.waiter: queued for queued in queue}
-        for waiter in placement_order(by_waiter, now):
-            self._dispatch_one(by_waiter[waiter], queue, now)
+        remaining = [
+            queued
+            for waiter in placement_order(by_waiter, now)
+            if not self._dispatch_one(queued := by_waiter[waiter], dispatch_pass)
+        ]
+        # In order of arrival, as requests of equal urgency keep their order.
+        if len(remaining) < len(queue):
+            kept = set(map(id, remaining))
+            queue[:] = [queued for queued in queue if id(queued) in kept]
         if queue and self._tick_timer is None:
             loop = asyncio.get_running_loop()
             self._tick_timer = loop.call_later(TICK_SECONDS, self._tick)
@@ -165,49 +210,87 @@
         self.dispatch_waiting()
 
     def _dispatch_one(
-        self, queued: _QueuedRequest, queue: list[_QueuedRequest], now: float
-    ) -> None:
-        waiter = queued.waiter
+        self, queued: _QueuedRequest, dispatch_pass: _DispatchPass
+    ) -> bool:
+        """Place or refuse one request; return whether it leaves the queue."""
+        waiter, now = queued.waiter, dispatch_pass.now
         if queued.fut.done():
             # Cancelled, but the task that waits in `place` has not run since.
-            queue.remove(queued)
-            return
-        placement = self._find_placement(waiter, now)
+            return True
+        placement = self._find_placement(waiter, dispatch_pass)
         if placement is not None:
-            queue.remove(queued)
-            in_flight = self.loads.record_send(
-                placement.server.id, tokens=waiter.tokens, now=now
-            )
-            if now < placement.server.cold_until:
-                self._cold_send_times[placement.server.id].append(now)
+            in_flight = self._record_placement(placement, waiter, dispatch_pass)
             queued.fut.set_result((placement, in_flight))
-            return
+            return True
         code = refusal_code(waiter, now)
         if code is not None:
-            queue.remove(queued)
             queued.fut.set_exception(PlacementRefused(code))
+            return True
+        return False
+
+    def _record_placement(
+        self, placement: Placement, waiter: Waiter, dispatch_pass: _DispatchPass
+    ) -> InFlightRequest:
+        server, now = placement.server, dispatch_pass.now
+        in_flight = self.loads.record_send(server.id, tokens=waiter.tokens, now=now)
+        if now < server.cold_until:
+            self._cold_send_times[server.id].append(now)
+        for group in dispatch_pass.groups.values():
+            group.replace(
+                server.id, self._candidate(server, group.service, dispatch_pass)
+            )
+        return in_flight
+
+    def _find_placement(
+        self, waiter: Waiter, dispatch_pass: _DispatchPass
+    ) -> Placement | None:
+        group = self._group_for(waiter, dispatch_pass)
+        if group is None:
+            return None
+        if group.has_servers:
+            # They may be loading weights and become usable soon.
+            waiter.last_candidate_at = dispatch_pass.now
+        candidates = group.open_candidates(waiter.excluded)
+        if not candidates:
+            return None
+        return place(
+            service=group.service,
+            candidates=candidates,
+            tokens=waiter.tokens,
+            rng=self._rng,
+            is_late=is_late(waiter, dispatch_pass.now),
+        )
 
-    def _find_placement(self, waiter: Waiter, now: float) -> Placement | None:
+    def _group_for(
+        self, waiter: Waiter, dispatch_pass: _DispatchPass
+    ) -> CandidateGroup | None:
+        """Return the candidates for a request, looked up once in each pass."""
         table = self._routing_state.table
         service = table.services.get(waiter.service) if table else None
         if service is None:
             return None
+        key = (waiter.model, waiter.regions)
+        group = dispatch_pass.groups.get(key)
+        if group is None:
+            group = self._new_group(service, waiter, dispatch_pass)
+            dispatch_pass.groups[key] = group
+        return group
+
+    def _new_group(
+        self, service: Service, waiter: Waiter, dispatch_pass: _DispatchPass
+    ) -> CandidateGroup:
         in_service = self._servers_in_service(waiter)
-        if in_service:
-            # They may be loading weights and become usable soon.
-            waiter.last_candidate_at = now
-        servers = self._usable_servers(in_service, waiter, now)
-        return place(
+        usable = self._usable_servers(in_service, waiter.model, dispatch_pass.now)
+        candidates = {
+            server.id: candidate
+            for server in usable
+            if (candidate := self._candidate(server, service, dispatch_pass))
+        }
+        return CandidateGroup(
             service=service,
-            candidates=[
-                self._candidate(server, now)
-                for server in servers
-                if self._may_send_to_cold(server, service, now)
-                and self._may_send_to_newly_available(server, service, now)
-            ],
-            tokens=waiter.tokens,
-            rng=self._rng,
-            is_late=is_late(waiter, now),
+            has_servers=bool(in_service),
+            usable=frozenset(server.id for server in usable),
+            candidates=candidates,
         )
 
     def _estimate_durations(self, waiter: Waiter) -> None:
@@ -220,11 +303,19 @@
             )
             waiter.streaming_seconds = streaming_seconds(service, waiter.output_tokens)
 
-    def _candidate(self, server: BackendServer, now: float) -> Candidate:
+    def _candidate(
+        self, server: BackendServer, service: Service, dispatch_pass: _DispatchPass
+    ) -> Candidate | None:
+        """Return a server with its load, or None if it may get no request now."""
+        now = dispatch_pass.now
+        if not self._may_send_to_cold(server, service, now):
+            return None
+        if not self._may_send_to_newly_available(server, service, now):
+            return None
         return Candidate(
             server=server,
             load=self.loads.server_load(
-                server.id, now=now, peer_count=self._live_gateway_count() - 1
+                server.id, now=now, peer_count=dispatch_pass.peer_count
             ),
             is_avoided=self.health.is_avoided(server.id, now=now),
             is_local=server.data_centre == self._data_centre,
@@ -239,35 +330,29 @@
         out_of_service = self._routing_state.data_centres_out
         return [
             server
-            for server in self._routing_state.servers.values()
-            if server.service == waiter.service
-            and not server.is_leaving
+            for server in self._servers_by_service.get(waiter.service, ())
+            if not server.is_leaving
             and server.data_centre not in out_of_service
             and (not waiter.regions or server.region in waiter.regions)
         ]
 
     def _usable_servers(
-        self, servers: list[BackendServer], waiter: Waiter, now: float
+        self, servers: list[BackendServer], model: str, now: float
     ) -> list[BackendServer]:
-        """Return the servers that accept requests and hold a version that may serve.
-
-        Those excluded after a failed attempt are returned only if no other is left.
-        """
+        """Return the servers that accept requests and hold a version that may serve."""
         min_version = 0
-        if waiter.model:
-            min_version = max(
-                1, self._routing_state.required_version(waiter.model, now)
-            )
+        if model:
+            min_version = max(1, self._routing_state.required_version(model, now))
         usable = [
             server
             for server in servers
             if not self.notices.is_closed(server.address, now=now)
-            and self._loaded_version(server, waiter.model, now) >= min_version
+            and self._loaded_version(server, model, now) >= min_version
         ]
         self._availability.update(
             listed=[s.id for s in servers], usable={s.id for s in usable}, now=now
         )
-        return [s for s in usable if s.id not in waiter.excluded] or usable
+        return usable
 
     def _loaded_version(self, server: BackendServer, model: str, now: float) -> int:
         """Return the loaded version; it may be out of date, but never too high."""
--- a/packages/gateway/eelgrassdale_gateway/loads.py
+++ b/packages/gateway/eelgrassdale_gateway/loads.py
@@ -36,6 +36,9 @@
         )
 
 
+NO_LOAD = Load()
+
+
 @define(kw_only=True)
 class InFlightRequest:
     """One request sent to a backend server.
@@ -53,10 +56,22 @@
     loads: Mapping[str, Load]
 
 
+@define
+class _Total:
+    """Sum of the loads that peers reported for one backend server."""
+
+    requests: int = 0
+    tokens: int = 0
+    report_count: int = 0
+
+
 @define
 class LoadTracker:
     """Requests in flight from this gateway, and the last reports of its peers.
 
+    The sum over the reports is updated with each report, so that the cost of reading
+    the load of a backend server does not grow with the number of peers.
+
     Examples
     --------
     >>> loads = LoadTracker()
@@ -70,7 +85,9 @@
     """
 
     _own_loads: dict[str, Load] = field(factory=dict)
+    # In the order in which they were received.
     _reports: dict[str, _Report] = field(factory=dict)
+    _reported_totals: dict[str, _Total] = field(factory=dict)
     _recent_sends: dict[str, deque[tuple[float, Load]]] = field(factory=dict)
 
     def record_send(self, server: str, *, tokens: int, now: float) -> InFlightRequest:
@@ -96,15 +113,30 @@
         self, peer: str, loads: Mapping[str, Load], *, now: float
     ) -> None:
         """Replace the last report of a peer."""
+        self.remove_peer(peer)
         self._reports[peer] = _Report(now, loads)
+        for server, load in loads.items():
+            total = self._reported_totals.setdefault(server, _Total())
+            total.requests += load.requests
+            total.tokens += load.tokens
+            total.report_count += 1
 
     def remove_peer(self, peer: str) -> None:
         """Remove the report of a peer that is gone."""
-        self._reports.pop(peer, None)
+        report = self._reports.pop(peer, None)
+        if report is None:
+            return
+        for server, load in report.loads.items():
+            total = self._reported_totals[server]
+            total.requests -= load.requests
+            total.tokens -= load.tokens
+            total.report_count -= 1
+            if not total.report_count:
+                del self._reported_totals[server]
 
     def own_requests(self, server: str) -> int:
         """Return how many requests this gateway has in flight at a backend server."""
-        return self._own_loads.get(server, Load()).requests
+        return self._own_loads.get(server, NO_LOAD).requests
 
     def own_loads(self) -> Mapping[str, Load]:
         """Return the load that this gateway causes, by backend server."""
@@ -120,7 +152,7 @@
             if report is None or now - report.received_at > REPORT_TTL_SECONDS:
                 continue
             for server, load in report.loads.items():
-                total[server] = total.get(server, Load()) + load
+                total[server] = total.get(server, NO_LOAD) + load
         return total
 
     def server_load(self, server: str, *, now: float, peer_count: int = 0) -> Load:
@@ -129,28 +161,41 @@
         It includes an estimate of what `peer_count` other gateways sent since
         their reports, extrapolated from this gateway's recent sends.
         """
-        total = self._own_loads.get(server, Load())
-        total += self._recent_load(server, now).scaled(PEER_SEND_SHARE * peer_count)
-        for report in self._reports.values():
-            if (
-                now - report.received_at <= REPORT_TTL_SECONDS
-                and server in report.loads
-            ):
-                total += report.loads[server]
-        return total
+        self._remove_expired_reports(now)
+        load = self._own_loads.get(server, NO_LOAD)
+        recent_load = self._recent_load(server, now)
+        if recent_load is not NO_LOAD:
+            load += recent_load.scaled(PEER_SEND_SHARE * peer_count)
+        total = self._reported_totals.get(server)
+        if total is not None:
+            load += Load(requests=total.requests, tokens=total.tokens)
+        return load
+
+    def retain(self, known_servers: Collection[str]) -> None:
+        """Drop the recent sends to all backend servers but the known ones."""
+        for server in self._recent_sends.keys() - known_servers:
+            del self._recent_sends[server]
+
+    def _remove_expired_reports(self, now: float) -> None:
+        while self._reports:
+            peer, report = next(iter(self._reports.items()))
+            if now - report.received_at <= REPORT_TTL_SECONDS:
+                return
+            self.remove_peer(peer)
 
     def _recent_load(self, server: str, now: float) -> Load:
         recent = self._recent_sends.get(server)
         if recent is None:
-            return Load()
+            return NO_LOAD
         while recent and now - recent[0][0] > REPORT_DELAY_SECONDS:
             recent.popleft()
         if not recent:
             del self._recent_sends[server]
-        return sum((load for _, load in recent), Load())
+            return NO_LOAD
+        return sum((load for _, load in recent), NO_LOAD)
 
     def _add_own_load(self, server: str, change: Load) -> None:
-        load = self._own_loads.get(server, Load()) + change
+        load = self._own_loads.get(server, NO_LOAD) + change
         if load.requests <= 0:
             self._own_loads.pop(server, None)
         else:
--- a/packages/gateway/eelgrassdale_gateway/notices.py
+++ b/packages/gateway/eelgrassdale_gateway/notices.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from attrs import define, field, frozen
 
@@ -65,13 +65,27 @@
             return 0
         return notice.version
 
+    def retain(self, known_addresses: Collection[Address], *, now: float) -> None:
+        """Drop the expired notices of engines at all but the known addresses.
+
+        An engine that starts sends notices before the list shows it, so valid ones
+        are kept.
+        """
+        for address in self._notices.keys() - known_addresses:
+            if _is_expired(self._notices[address], now):
+                del self._notices[address]
+
     def _current_notice(self, address: Address, now: float) -> Notice | None:
         notice = self._notices.get(address)
-        if notice is None or now - notice.received_at > NOTICE_TTL_SECONDS:
+        if notice is None or _is_expired(notice, now):
             return None
         return notice
 
 
+def _is_expired(notice: Notice, now: float) -> bool:
+    return now - notice.received_at > NOTICE_TTL_SECONDS
+
+
 class NoticeSender:
     """Sends the state of one engine to gateways, at once and then repeatedly.
 
--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -6,7 +6,7 @@
 """
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 
 import structlog
@@ -88,7 +88,7 @@
         address: Address,
         loads: LoadTracker,
         notices: NoticeRegistry,
-        on_change: Callable[[], None],
+        on_notice: Callable[[], None],
         revisions: Callable[[], Mapping[str, int]] = dict,
         seed: int | None = None,
     ) -> None:
@@ -99,12 +99,17 @@
         self._address = address
         self._loads = loads
         self._notices = notices
-        self._on_change = on_change
+        self._on_notice = on_notice
         self._rng = Random(seed)
         self._peers: dict[Address, Peer] = {}
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._started_at = clock.monotonic()
+        # None after a change of the peers that share limits.
+        self._group: GatewayGroup | None = None
+        self._assumed_group = self._new_group(
+            f"unknown-{number}" for number in range(1, ASSUMED_GATEWAYS)
+        )
 
     async def start(self) -> None:
         """Bind the address and send heartbeats from now on."""
@@ -122,6 +127,7 @@
         if len(self._peers) >= MAX_PEERS:
             return
         self._peers[address] = Peer(address=address, added_at=self._clock.monotonic())
+        self._group = None
 
     async def run(self) -> None:
         """Send heartbeats until cancelled."""
@@ -151,18 +157,22 @@
         Silent peers count until they are forgotten: the link to them may be
         broken while they still send requests to backend servers.
         """
-        members = {
-            _address_label(peer.address)
-            for peer in self._peers.values()
-            if not peer.is_leaving
-        }
+        if self._group is None:
+            self._group = self._new_group(
+                _address_label(peer.address)
+                for peer in self._peers.values()
+                if not peer.is_leaving
+            )
         if (
-            not members
+            self._group.count == 1
             and self._clock.monotonic() - self._started_at < PEER_RETENTION_SECONDS
         ):
-            members = {f"unknown-{number}" for number in range(1, ASSUMED_GATEWAYS)}
+            return self._assumed_group
+        return self._group
+
+    def _new_group(self, peers: Iterable[str]) -> GatewayGroup:
         me = _address_label(self._address)
-        return GatewayGroup(own_name=me, members=frozenset(members | {me}))
+        return GatewayGroup(own_name=me, members=frozenset((me, *peers)))
 
     def newest_revisions(self) -> dict[str, int]:
         """Return the newest revision of each kind that live peers know."""
@@ -183,9 +193,8 @@
         in_region_data = encode(
             self._heartbeat(now, self._loads.own_loads(), with_loads=True)
         )
-        remote_data = encode(
-            self._heartbeat(now, self._data_centre_loads(now), with_loads=is_reporter)
-        )
+        remote_loads = self._data_centre_loads(now) if is_reporter else {}
+        remote_data = encode(self._heartbeat(now, remote_loads, with_loads=is_reporter))
         for position, peer in enumerate(self._peers.values()):
             interval = self._heartbeat_interval(peer, now, is_reporter=is_reporter)
             if (self._sequence + position) % interval == 0:
@@ -229,7 +238,7 @@
             log.warning("malformed datagram dropped", source=f"{addr[0]}:{addr[1]}")
         elif isinstance(message, ServerNotice):
             if self._notices.record(message, now=self._clock.monotonic()):
-                self._on_change()
+                self._on_notice()
         else:
             self._handle_heartbeat(message, addr)
 
@@ -255,7 +264,9 @@
         peer.info = _node_info(heartbeat)
         peer.sequence = heartbeat.sequence
         peer.heard_at = now
-        peer.is_leaving = heartbeat.is_leaving
+        if peer.is_leaving != heartbeat.is_leaving:
+            peer.is_leaving = heartbeat.is_leaving
+            self._group = None
         peer.revisions = {
             entry.kind: entry.revision for entry in heartbeat.revisions or ()
         }
@@ -271,7 +282,6 @@
                 is_live=not was_live,
                 incarnation=heartbeat.incarnation,
             )
-        self._on_change()
 
     def _is_live(self, peer: Peer, now: float) -> bool:
         if peer.info is None or peer.is_leaving:
@@ -288,6 +298,7 @@
             last_sign_of_life = max(peer.heard_at, peer.added_at)
             if now - last_sign_of_life > PEER_RETENTION_SECONDS:
                 del self._peers[address]
+                self._group = None
                 if peer.info is not None:
                     self._loads.remove_peer(peer.info.name)
 
--- a/packages/gateway/eelgrassdale_gateway/placement.py
+++ b/packages/gateway/eelgrassdale_gateway/placement.py
@@ -5,7 +5,7 @@
 there determine the time to the first event and the pauses of running streams.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from random import Random
 
 from attrs import frozen
@@ -111,18 +111,33 @@
     )
 
 
+def request_limit(
+    service: Service, server: BackendServer, *, is_late: bool = False
+) -> float:
+    """Return from how many requests on a backend server gets no further one."""
+    slots = max(server.slots, 1)
+    if service.engine is None:
+        return slots * PLAIN_REQUESTS_PER_SLOT
+    return LATE_SLOTS_SHARE * slots if is_late else slots + EXTRA_ENGINE_REQUESTS
+
+
+def preferred_candidates(candidates: Iterable[Candidate]) -> list[Candidate]:
+    """Return the candidates that are not avoided, or all if all are avoided."""
+    listed = list(candidates)
+    return [c for c in listed if not c.is_avoided] or listed
+
+
 def has_capacity(
     service: Service, candidate: Candidate, tokens: int, *, is_late: bool = False
 ) -> bool:
     """Return whether a backend server may get one more request now."""
-    requests = candidate.load.requests
-    slots = max(candidate.server.slots, 1)
     engine = service.engine
-    if engine is None:
-        return requests < slots * PLAIN_REQUESTS_PER_SLOT
-    limit = LATE_SLOTS_SHARE * slots if is_late else slots + EXTRA_ENGINE_REQUESTS
-    if requests >= limit:
+    if candidate.load.requests >= request_limit(
+        service, candidate.server, is_late=is_late
+    ):
         return False
+    if engine is None:
+        return True
     backlog = candidate.load.tokens
     return (
         backlog == 0
@@ -144,9 +159,10 @@
     event is chosen. Avoided servers are considered only if all candidates are
     avoided, however busy the rest are.
     """
-    preferred = [c for c in candidates if not c.is_avoided] or list(candidates)
     available = [
-        c for c in preferred if has_capacity(service, c, tokens, is_late=is_late)
+        c
+        for c in preferred_candidates(candidates)
+        if has_capacity(service, c, tokens, is_late=is_late)
     ]
     if not available:
         return None
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -121,7 +121,7 @@
             address=cfg.peer_address,
             loads=self.dispatcher.loads,
             notices=self.dispatcher.notices,
-            on_change=self.dispatcher.dispatch_waiting,
+            on_notice=self.dispatcher.dispatch_waiting,
             revisions=lambda: self._mirror_set.revisions() if self._mirror_set else {},
         )
         for seed in cfg.seed_addresses:
--- a/packages/gateway/eelgrassdale_gateway/routingstate.py
+++ b/packages/gateway/eelgrassdale_gateway/routingstate.py
@@ -32,14 +32,24 @@
         still serve.
     start_grace : float
         The same for versions that are in the first list that this process gets.
+    queue_seconds : float
+        Seconds after the grace in which a request that was sent in time may still
+        begin on an older version.
     """
 
-    def __init__(self, *, version_grace_seconds: float, start_grace: float) -> None:
+    def __init__(
+        self,
+        *,
+        version_grace_seconds: float,
+        start_grace: float,
+        queue_seconds: float = 0.5,
+    ) -> None:
         self.table: RouteTable | None = None
         self.servers: Mapping[str, BackendServer] = {}
         self.data_centres_out: frozenset[str] = frozenset()
         self.has_servers = False
         self.version_grace_seconds = version_grace_seconds
+        self.queue_seconds = queue_seconds
         self._start_grace = start_grace
         self._targets: dict[str, list[TargetVersion]] = {}
         self.has_target_versions = False
@@ -126,6 +136,20 @@
                 lowest = target.version
         return lowest
 
+    def latest_start(self, model: str, version: int) -> float:
+        """Return until when a request may begin on a version of a model.
+
+        It is infinity while no newer version is the target.
+        """
+        return min(
+            (
+                target.mandatory_at + self.queue_seconds
+                for target in self._targets.get(model, ())
+                if target.version > version
+            ),
+            default=float("inf"),
+        )
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- a/packages/gateway/eelgrassdale_gateway/shares.py
+++ b/packages/gateway/eelgrassdale_gateway/shares.py
@@ -98,8 +98,9 @@
     )
 
 
-# One entry for each backend server whose limit is divided, and set of members.
-@lru_cache(maxsize=512)
+# One entry for each backend server whose limit is divided, and set of members. All
+# servers of a fleet need one when they become available at the same time.
+@lru_cache(maxsize=4096)
 def _chosen_members(
     resource: str, members: frozenset[str], count: int
 ) -> frozenset[str]:
--- a/packages/gateway/eelgrassdale_gateway/tests/test_dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_dispatcher.py
@@ -9,6 +9,7 @@
 from eelgrassdale.clock import ManualClock
 from eelgrassdale.results import ResultCode
 from eelgrassdale_gateway.dispatcher import Dispatcher, PlacementRefused
+from eelgrassdale_gateway.loads import Load, LoadTracker
 from eelgrassdale_gateway.model import (
     BackendServer,
     EngineProfile,
@@ -99,7 +100,7 @@
     """Without shared slots all gateways send to an engine that just became available.
 
     9 gateways sent 54 waiting requests to an engine of 16 slots. With 46 gateways one
-    request from each was enough: 30 waited there for fields than a second, beyond the
+    request from each was enough: 30 waited there for more than a second, beyond the
     time for which the model version that they had started on may serve.
     """
 
@@ -187,6 +188,39 @@
     assert asyncio.run(scenario()) is ResultCode.NO_BACKEND_SERVER
 
 
+def test_event_reads_the_load_of_each_server_once(monkeypatch):
+    """Guards against work that grows with waiting requests times backend servers.
+
+    Gateways of a large fleet spent most of their processor time on it under overload.
+    """
+    load_reads = 0
+    server_load = LoadTracker.server_load
+
+    def counted(*args, **kwargs):
+        nonlocal load_reads
+        load_reads += 1
+        return server_load(*args, **kwargs)
+
+    async def scenario():
+        cluster = Cluster(gateways=1, servers=30)
+        node = cluster.nodes[0]
+        full = {f"s-{number}": Load(requests=99) for number in range(30)}
+        node.loads.record_report("peer", full, now=cluster.clock.monotonic())
+        tasks = [asyncio.ensure_future(node.place(cluster.waiter())) for _ in range(50)]
+        await asyncio.sleep(0)
+        in_flight = node.loads.record_send("s-0", tokens=0, now=0.0)
+        monkeypatch.setattr(LoadTracker, "server_load", counted)
+        node.record_response_start(in_flight)
+        waiting_count = node.waiting_count()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return waiting_count
+
+    assert asyncio.run(scenario()) == 50
+    assert load_reads == 30
+
+
 def test_overload_leaves_most_of_the_served_requests_on_time():
     """Sorting by due time alone places late requests first; nearly all come late."""
     on_time, served = run_overload(rate=1.3)
--- a/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
@@ -39,7 +39,7 @@
             address=address,
             loads=loads,
             notices=NoticeRegistry(),
-            on_change=lambda: None,
+            on_notice=lambda: None,
             seed=len(self.nodes),
         )
         node.loads = loads
--- a/packages/measures/eelgrassdale_measures/__main__.py
+++ b/packages/measures/eelgrassdale_measures/__main__.py
@@ -14,6 +14,7 @@
     "slow_readers",
     "overload",
     "cost",
+    "dispatch_cost",
     "data_centre_change",
     "configuration_spread",
     "state_size",
--- /dev/null
+++ b/packages/measures/eelgrassdale_measures/dispatch_cost.py
@@ -0,0 +1,139 @@
+"""Processor time of one event at the dispatcher of a gateway under overload.
+
+An event is the start of a response, after which the gateway looks for a place for
+its waiting requests. All backend servers are full, as under overload, and all peers
+have reported their loads. The sizes show how the cost grows with the fleet.
+"""
+
+import asyncio
+import time
+from collections.abc import Iterable
+
+from attrs import frozen
+
+from eelgrassdale.clock import ManualClock
+from eelgrassdale_gateway.dispatcher import Dispatcher
+from eelgrassdale_gateway.loads import Load
+from eelgrassdale_gateway.model import (
+    BackendServer,
+    EngineProfile,
+    RouteTable,
+    Service,
+)
+from eelgrassdale_gateway.queueing import Waiter
+from eelgrassdale_gateway.routingstate import RoutingState
+from eelgrassdale_gateway.shares import GatewayGroup
+
+SLOTS = 8
+# Servers in one report: a peer has requests in flight at few of them.
+SERVERS_PER_REPORT = 10
+EVENT_COUNT = 20
+ENGINE = EngineProfile(
+    slots=SLOTS,
+    prefill_tokens_per_second=13_800.0,
+    decode_step_seconds=0.0139,
+    steps_per_event=5,
+)
+
+
+@frozen(kw_only=True)
+class FleetSize:
+    """Numbers of gateways, backend servers and waiting requests."""
+
+    gateways: int
+    servers: int
+    waiting: int
+
+
+SIZES = (
+    FleetSize(gateways=30, servers=90, waiting=50),
+    FleetSize(gateways=100, servers=300, waiting=170),
+    FleetSize(gateways=300, servers=900, waiting=500),
+)
+
+
+def run() -> Iterable[dict[str, object]]:
+    """Yield one line for each fleet size."""
+    for size in SIZES:
+        seconds = asyncio.run(_seconds_per_event(size))
+        yield {
+            "gateways": size.gateways,
+            "servers": size.servers,
+            "waiting": size.waiting,
+            "event_ms": round(1000 * seconds, 3),
+        }
+
+
+async def _seconds_per_event(size: FleetSize) -> float:
+    clock = ManualClock()
+    dispatcher = _full_fleet(size, clock)
+    place_all = [
+        asyncio.ensure_future(dispatcher.place(_waiter(clock)))
+        for _ in range(size.waiting)
+    ]
+    await asyncio.sleep(0)
+    # From here on, no server counts as newly available.
+    clock.advance(seconds=1.0)
+    in_flight = dispatcher.loads.record_send("s-0", tokens=0, now=clock.monotonic())
+    started_at = time.process_time()
+    for _ in range(EVENT_COUNT):
+        dispatcher.record_response_start(in_flight)
+    seconds = (time.process_time() - started_at) / EVENT_COUNT
+    for task in place_all:
+        task.cancel()
+    await asyncio.gather(*place_all, return_exceptions=True)
+    return seconds
+
+
+def _full_fleet(size: FleetSize, clock: ManualClock) -> Dispatcher:
+    """Return the dispatcher of a gateway that knows all servers to be full."""
+    routing_state = RoutingState(version_grace_seconds=7.0, start_grace=1.0)
+    group = GatewayGroup(
+        own_name="g-0", members=frozenset(f"g-{n}" for n in range(size.gateways))
+    )
+    dispatcher = Dispatcher(
+        clock=clock,
+        routing_state=routing_state,
+        data_centre="a",
+        live_gateway_count=lambda: size.gateways,
+        gateway_group=lambda: group,
+        seed=1,
+    )
+    routing_state.apply_table(
+        RouteTable(version=1, services={"m": Service(name="m", engine=ENGINE)})
+    )
+    routing_state.set_servers(
+        {
+            f"s-{number}": BackendServer(
+                id=f"s-{number}",
+                service="m",
+                address=("h", number + 1),
+                data_centre="a",
+                region="n",
+                slots=SLOTS,
+                versions={"x": 1},
+            )
+            for number in range(size.servers)
+        }
+    )
+    for peer in range(1, size.gateways):
+        loads = {
+            f"s-{(peer * SERVERS_PER_REPORT + n) % size.servers}": Load(
+                requests=2 * SLOTS, tokens=0
+            )
+            for n in range(SERVERS_PER_REPORT)
+        }
+        dispatcher.loads.record_report(f"g-{peer}", loads, now=clock.monotonic())
+    return dispatcher
+
+
+def _waiter(clock: ManualClock) -> Waiter:
+    now = clock.monotonic()
+    return Waiter(
+        service="m",
+        model="x",
+        tokens=900,
+        arrived_at=now,
+        objective_at=now + 5.0,
+        expires_at=now + 10.0,
+    )
