Withdraw a request that has not begun while its version may serve

Cause: gateways stop sending to an engine with an older version 1 s before requests must begin on the newer one, but a request may wait at the engine for longer.

Ruled out: a gateway that sent too late; each was sent within the grace.

The engine's health is not changed by it.

--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -1,5 +1,6 @@
 """Runs one attempt: sends a request to a backend server and reads the response."""
 
+import asyncio
 from collections.abc import Callable
 
 import structlog
@@ -20,7 +21,14 @@
 from eelgrassdale_gateway.eventstream import EventSplitter, EventTooLong, event_id
 from eelgrassdale_gateway.headernames import HeaderNames
 from eelgrassdale_gateway.model import BackendServer
-from eelgrassdale_gateway.outcomes import Answered, Lost, NotRun, Outcome, Relayed
+from eelgrassdale_gateway.outcomes import (
+    Answered,
+    Lost,
+    NotRun,
+    Outcome,
+    Relayed,
+    Withdrawn,
+)
 
 # Limit of responses that are buffered whole before they are sent to the caller.
 MAX_RESPONSE_BYTES = 8_388_608
@@ -70,13 +78,19 @@
         self._header_names = header_names
 
     async def run(
-        self, call: Call, server: BackendServer, on_response_start: Callable[[], None]
+        self,
+        call: Call,
+        server: BackendServer,
+        on_response_start: Callable[[], None],
+        *,
+        latest_start: float = float("inf"),
     ) -> Outcome:
         """Send the request to a backend server.
 
         `on_response_start` is called when the head of a response that is not a
-        refusal has arrived. Cancelling an attempt closes its connection, which ends
-        the work at the backend server.
+        refusal has arrived. If that has not happened by the monotonic time
+        `latest_start`, the attempt is withdrawn. Cancelling or withdrawing an attempt
+        closes its connection, which ends the work at the backend server.
         """
         try:
             conn = await self._pool.acquire(
@@ -88,7 +102,7 @@
         try:
             call.send_count += 1
             outcome, is_reusable = await self._send_and_receive(
-                call, server, conn, on_response_start
+                call, server, conn, on_response_start, latest_start
             )
         except ExchangeFailed as exc:
             outcome = Lost(reason=str(exc))
@@ -107,12 +121,19 @@
         server: BackendServer,
         conn: ClientConnection,
         on_response_start: Callable[[], None],
+        latest_start: float,
     ) -> tuple[Outcome, bool]:
         """Return the outcome and whether the connection can be reused."""
         may_have_run_before = call.may_have_run
         call.may_have_run = True
-        await conn.send(self._build_request(call, server))
-        head = await conn.head(timeout=self._silence_timeout(call))
+        try:
+            async with asyncio.timeout_at(self._loop_time(latest_start)) as start_limit:
+                await conn.send(self._build_request(call, server))
+                head = await conn.head(timeout=self._silence_timeout(call))
+        except TimeoutError:
+            if not start_limit.expired():
+                raise
+            return Withdrawn(reason="not begun while its version could serve"), False
         if head.header(self._header_names.request_id) != call.admitted.request_id:
             return Lost(reason="response to another request"), False
         if head.status == MISDIRECTED_REQUEST_STATUS or head.header(
@@ -183,6 +204,12 @@
         if not call.exchange.is_started:
             await call.exchange.start(head.status, response_headers(head))
 
+    def _loop_time(self, at: float) -> float | None:
+        """Return a monotonic time of the clock as time of the event loop."""
+        if at == float("inf"):
+            return None
+        return asyncio.get_running_loop().time() + at - self._clock.monotonic()
+
     def _silence_timeout(self, call: Call) -> float | None:
         """Return the seconds without data after which an attempt is lost.
 
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -13,7 +13,14 @@
 from eelgrassdale_gateway.headernames import HeaderNames
 from eelgrassdale_gateway.loads import InFlightRequest
 from eelgrassdale_gateway.model import BackendServer, EngineProfile
-from eelgrassdale_gateway.outcomes import Answered, Lost, NotRun, Outcome, Relayed
+from eelgrassdale_gateway.outcomes import (
+    Answered,
+    Lost,
+    NotRun,
+    Outcome,
+    Relayed,
+    Withdrawn,
+)
 from eelgrassdale_gateway.queueing import Waiter, is_late, retry_after_seconds
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.routingstate import RoutingState
@@ -123,7 +130,10 @@
         )
         try:
             outcome = await self._attempt_runner.run(
-                call, server, lambda: self._on_response_start(call, in_flight)
+                call,
+                server,
+                lambda: self._on_response_start(call, in_flight),
+                latest_start=self._dispatcher.latest_start(server, admitted.model),
             )
         finally:
             self._dispatcher.record_end(in_flight)
@@ -153,6 +163,9 @@
                 health.record_refusal(server.id, now=now)
             case Lost():
                 health.record_failure(server.id, now=now)
+            case Withdrawn():
+                # Says nothing about the health of the backend server.
+                pass
             case Answered(head=head) if head.status >= 500:
                 health.record_failure(server.id, now=now, has_response=True)
             case _:
--- a/packages/gateway/eelgrassdale_gateway/outcomes.py
+++ b/packages/gateway/eelgrassdale_gateway/outcomes.py
@@ -20,6 +20,13 @@
     reason: str
 
 
+@frozen(kw_only=True)
+class Withdrawn:
+    """The gateway ended an attempt that had not begun in time; it may have run."""
+
+    reason: str
+
+
 @frozen(kw_only=True)
 class Answered:
     """The backend server sent a complete response, of any status."""
@@ -33,4 +40,4 @@
     """The response was streamed to the caller up to its end."""
 
 
-Outcome = NotRun | Lost | Answered | Relayed
+Outcome = NotRun | Lost | Withdrawn | Answered | Relayed
