Mend faults that were found by reading and listed as open

Causes, each with a test that fails without its change:

- A version that is gone at the origin counted as a source that is unavailable, so its chunks were asked for again until the process ended.
- A malformed object of another gateway raised ValueError or TypeError, which ended the task that mirrors the store.
It now counts as a failed read.
- A listing of several pages had the revision of its last page, so a watch missed a change of an earlier page made in between.
- A new retry ratio after a reload did not reach services with a budget.
- An agent whose address changed during a request got a negative count of requests, so that its link was never closed.
The ids are kept instead.
- Aborting a connection whose handler runs raised AttributeError in the task that waits for the handler.
- An unexpected error ended a caller of the load generator uncounted.

--- a/packages/core/eelgrassdale/http1/server.py
+++ b/packages/core/eelgrassdale/http1/server.py
@@ -337,7 +337,8 @@
             await asyncio.wait((task, read), return_when=asyncio.FIRST_COMPLETED)
             if not read.done():
                 continue
-            if task.done():
+            if task.done() or read.cancelled():
+                # `abort` cancels the read; the connection is closed then.
                 return
             data = self._receiver.take_result()
             if not data:
--- a/packages/core/eelgrassdale/http1/tests/test_server.py
+++ b/packages/core/eelgrassdale/http1/tests/test_server.py
@@ -137,6 +137,28 @@
     assert data.endswith(b"hello")
 
 
+def test_aborting_a_connection_whose_handler_runs_cancels_the_handler(caplog):
+    """Guards against an internal error in the task that waits for the handler."""
+    handler_started, handler_ended = asyncio.Event(), asyncio.Event()
+
+    async def handler(_exchange):
+        handler_started.set()
+        try:
+            await asyncio.sleep(TEST_TIMEOUT_SECONDS)
+        finally:
+            handler_ended.set()
+
+    async def client(_reader, writer, server):
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await handler_started.wait()
+        server.abort_all()
+        await handler_ended.wait()
+        await asyncio.sleep(0.05)
+
+    serve(handler, client)
+    assert caplog.text == ""
+
+
 def test_idle_connection_is_closed_after_the_idle_timeout():
     async def client(reader, _writer, _server):
         return await reader.read()
--- a/packages/entry/eelgrassdale_entry/agents.py
+++ b/packages/entry/eelgrassdale_entry/agents.py
@@ -34,7 +34,8 @@
     """One agent with its link and last report.
 
     `pending` maps requests whose submission was not answered yet to their memory
-    in bytes. `last_reached` is the last reachability that was reported to the members.
+    in bytes. `in_flight` are the ids of the requests sent on `link` that have not
+    ended. `last_reached` is the last reachability that was reported to the members.
     """
 
     member: Member
@@ -42,7 +43,7 @@
     incarnation: int = 0
     headroom: dict[str, Headroom] = field(factory=dict)
     pending: dict[str, int] = field(factory=dict)
-    in_flight: int = 0
+    in_flight: set[str] = field(factory=set)
     is_unresponsive: bool = False
     last_used_at: float = 0.0
     last_reached: bool | None = None
@@ -197,7 +198,7 @@
     ) -> None:
         """Count a request whose submission the agent has not answered yet."""
         agent.pending[request_id] = memory_bytes
-        agent.in_flight += 1
+        agent.in_flight.add(request_id)
         agent.last_used_at = self._clock.monotonic()
 
     def record_submit_answer(
--- a/packages/entry/eelgrassdale_entry/dispatcher.py
+++ b/packages/entry/eelgrassdale_entry/dispatcher.py
@@ -294,7 +294,7 @@
             return
         agent = self._agents.get(message.agent)
         if agent is not None:
-            agent.in_flight -= 1
+            agent.in_flight.discard(message.request_id)
             self._agents.record_submit_answer(
                 agent, message.request_id, tracked.request.service, message.headroom
             )
@@ -341,7 +341,7 @@
             return
         agent = self._agents.get(attempt.agent)
         if agent is not None:
-            agent.in_flight -= 1
+            agent.in_flight.discard(tracked.request.request_id)
             agent.pending.pop(tracked.request.request_id, None)
             agent.link.cancel(attempt)
 
--- a/packages/gateway/eelgrassdale_gateway/changelog.py
+++ b/packages/gateway/eelgrassdale_gateway/changelog.py
@@ -46,10 +46,17 @@
         self._notify()
 
     def add(self, changes: Iterable[Change], revision: int) -> None:
-        """Apply changes up to a revision."""
+        """Apply changes up to a revision.
+
+        A change older than the known state of its object is skipped: a listing of
+        several pages may contain it already.
+        """
         objects = dict(self.objects)
         for change in changes:
             item = change.object
+            known = objects.get(item.name)
+            if known is not None and 0 < item.revision < known.revision:
+                continue
             changed_at = item.revision
             if change.is_deleted:
                 before = objects.pop(item.name, None)
--- a/packages/gateway/eelgrassdale_gateway/objecthttp.py
+++ b/packages/gateway/eelgrassdale_gateway/objecthttp.py
@@ -301,9 +301,14 @@
 
 
 def _decode_record(record: Any) -> StoredObject:
-    return StoredObject(
-        name=record.name,
-        revision=record.revision,
-        spec=json.loads(record.spec),
-        status=json.loads(record.status),
-    )
+    try:
+        return StoredObject(
+            name=record.name,
+            revision=record.revision,
+            spec=json.loads(record.spec),
+            status=json.loads(record.status),
+        )
+    except (TypeError, ValueError) as exc:
+        raise StoreUnavailable(
+            f"malformed object {record.name!r}: {exc}", is_store_failure=False
+        ) from exc
--- a/packages/gateway/eelgrassdale_gateway/retrybudgets.py
+++ b/packages/gateway/eelgrassdale_gateway/retrybudgets.py
@@ -44,9 +44,8 @@
         limit = max(1.0, SLACK_FRACTION * self.slack / self.gateway_group().count)
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(
-                tokens=limit, share=RATIO_FRACTION * self.ratio, limit=limit
-            )
-            self._budgets[service] = budget
+            budget = self._budgets[service] = RetryBudget(tokens=limit)
+        # Both follow the settings, which may change, and the number of gateways.
         budget.limit = limit
+        budget.share = RATIO_FRACTION * self.ratio
         return budget
--- a/packages/gateway/eelgrassdale_gateway/staging/fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/fetching.py
@@ -8,7 +8,11 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale_gateway.staging.chunks import ChunkSet, WeightsManifest
-from eelgrassdale_gateway.staging.engine import SourceUnavailable, WeightsOrigin
+from eelgrassdale_gateway.staging.engine import (
+    SourceUnavailable,
+    VersionGone,
+    WeightsOrigin,
+)
 from eelgrassdale_gateway.staging.relay import GatewayEndpoint, reading_order
 from eelgrassdale_gateway.staging.serving import (
     ChunkRequest,
@@ -173,6 +177,8 @@
         try:
             async with asyncio.timeout(TIMEOUT_MARGIN_SECONDS):
                 data = await origin.read_chunk(manifest.model, manifest.version, index)
+        except VersionGone:
+            raise
         except (SourceUnavailable, TimeoutError) as exc:
             log.info("reading a chunk failed", source="origin", reason=repr(exc))
             return False
--- a/packages/gateway/eelgrassdale_gateway/tests/test_changelog.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_changelog.py
@@ -47,3 +47,18 @@
     log.mark_unavailable()
     assert log.revision is None
     assert log.last_change_revision == 3
+
+
+def test_change_older_than_the_known_object_is_skipped():
+    """Guards against an object that goes back to an earlier state for a while.
+
+    A listing of several pages may contain a change that the next watch repeats.
+    """
+    log = ChangeLog()
+    log.replace({"a": item("a", 9, 2)}, 5)
+    older = [
+        Change(object=item("a", 7, 1)),
+        Change(object=item("a", 7, 1), is_deleted=True),
+    ]
+    log.add(older, 8)
+    assert log.objects["a"].spec == 2
--- a/packages/gateway/eelgrassdale_gateway/tests/test_retrybudgets.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_retrybudgets.py
@@ -44,3 +44,15 @@
     for _ in range(10_000):
         budgets.add_request("s")
     assert sum(budgets.take("s") for _ in range(100)) <= SLACK / 9
+
+
+def test_new_ratio_applies_to_services_that_have_a_budget():
+    """Guards against a reload that reaches only services without a request so far."""
+    budgets = RetryBudgets(ratio=0.0, slack=0.0, gateway_group=partial(make_group, 1))
+    budgets.add_request("s")
+    while budgets.take("s"):
+        pass
+    budgets.ratio, budgets.slack = 1.0, 10.0
+    for _ in range(10):
+        budgets.add_request("s")
+    assert budgets.take("s")
--- a/packages/standins/eelgrassdale_standins/loadgenerator.py
+++ b/packages/standins/eelgrassdale_standins/loadgenerator.py
@@ -115,6 +115,17 @@
 
     def _run(self, index: int, account: str) -> None:
         caller = Caller(account=account, weights=self._weights)
+        try:
+            self._send_requests(caller, index, account)
+        except Exception as exc:
+            # Counted as a failed request: the run must not look like a success with
+            # less load.
+            failed = Answer(outcome=Outcome.MAY_HAVE_RUN, detail=repr(exc))
+            self._record(failed, "caller ended by an error")
+        finally:
+            caller.close()
+
+    def _send_requests(self, caller: Caller, index: int, account: str) -> None:
         addresses = list(self._deployment.addresses.caller.values())
         entry_address = addresses[index % len(addresses)]
         keys: list[str] = []
@@ -135,7 +146,6 @@
                 if keys:
                     self._reserve(caller, addresses, keys.pop(), number, request_name)
             self._stopping.wait(self._pause_seconds)
-        caller.close()
 
     def _fetch_entries(self, caller: Caller, entry_address: str) -> EntryList | None:
         try:
