--- a/packages/core/eelgrassdale/http1/__init__.py
+++ b/packages/core/eelgrassdale/http1/__init__.py
@@ -9,11 +9,13 @@
     ExchangeFailed,
     connect,
 )
+from eelgrassdale.http1.memory import ByteBudget, MemoryExhausted, Reservation
 from eelgrassdale.http1.messages import Headers, Request, ResponseHead, get_header
 from eelgrassdale.http1.pool import ConnectionPool
 from eelgrassdale.http1.server import CallerLimits, Exchange, HttpServer
 
 __all__ = [
+    "ByteBudget",
     "CallerLimits",
     "ClientConnection",
     "ConnectFailed",
@@ -22,7 +24,9 @@
     "ExchangeFailed",
     "Headers",
     "HttpServer",
+    "MemoryExhausted",
     "Request",
+    "Reservation",
     "ResponseHead",
     "connect",
     "get_header",
--- a/packages/core/eelgrassdale/http1/client.py
+++ b/packages/core/eelgrassdale/http1/client.py
@@ -17,6 +17,9 @@
 Address = tuple[str, int]
 
 MAX_RESPONSE_HEAD_BYTES = 65_536
+# Interim responses (1xx) before the response. A server that sends more has failed.
+MAX_INTERIM_RESPONSES = 16
+RESPONSE_PREFIX = b"HTTP/1."
 
 
 class ConnectFailed(Exception):
@@ -88,26 +91,32 @@
         ExchangeFailed
             If the connection closed or sent something else.
         TimeoutError
-            If no byte arrived for `timeout` seconds.
+            If the head was not complete after `timeout` seconds.
         """
-        while True:
-            event = await self._next(timeout)
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if not isinstance(event, h11.Response):
-                raise ExchangeFailed(f"{self.address} sent no response: {event!r}")
-            head = ResponseHead(
-                status=event.status_code, headers=decode_headers(event.headers)
-            )
-            self._record_keep_alive(head)
-            return head
+        async with asyncio.timeout(timeout):
+            await self._require_response_start()
+            for _ in range(MAX_INTERIM_RESPONSES + 1):
+                event = await self._next()
+                if isinstance(event, h11.InformationalResponse):
+                    continue
+                if not isinstance(event, h11.Response):
+                    raise ExchangeFailed(f"{self.address} sent no response: {event!r}")
+                head = ResponseHead(
+                    status=event.status_code, headers=decode_headers(event.headers)
+                )
+                self._record_keep_alive(head)
+                return head
+        raise ExchangeFailed(
+            f"{self.address} sent more than {MAX_INTERIM_RESPONSES} interim responses"
+        )
 
     async def chunk(self, *, timeout: float | None = None) -> bytes | None:
         """Return the next bytes of the body, or None after its end.
 
-        Raises as `head` does.
+        Raises as `head` does; the timeout is that for the next bytes.
         """
-        event = await self._next(timeout)
+        async with asyncio.timeout(timeout):
+            event = await self._next()
         if isinstance(event, h11.Data):
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
@@ -157,21 +166,41 @@
         transport = self._writer.transport
         transport.abort()
 
-    async def _next(self, timeout: float | None) -> object:
+    async def _require_response_start(self) -> None:
+        """Read until the first bytes show whether they begin a response.
+
+        The parser waits for a whole line, which garbage may never end.
+        """
+        start = b""
+        while len(start) < len(RESPONSE_PREFIX):
+            data = await self._receive()
+            self._h11.receive_data(data)
+            start += data[: len(RESPONSE_PREFIX)]
+            if not RESPONSE_PREFIX.startswith(start[: len(RESPONSE_PREFIX)]):
+                raise ExchangeFailed(f"{self.address} sent no response: {start!r}")
+            if not data:
+                return
+
+    async def _next(self) -> object:
         try:
             event = self._h11.next_event()
             while event is h11.NEED_DATA:
-                data = await self._receiver.receive(timeout=timeout)
-                self._h11.receive_data(data)
+                self._h11.receive_data(await self._receive())
                 event = self._h11.next_event()
-        except TimeoutError:
-            raise
-        except (OSError, h11.ProtocolError) as exc:
+        except h11.ProtocolError as exc:
             raise ExchangeFailed(
                 f"reading the response of {self.address}: {exc!r}"
             ) from exc
         return event
 
+    async def _receive(self) -> bytes:
+        try:
+            return await self._receiver.receive(timeout=None)
+        except OSError as exc:
+            raise ExchangeFailed(
+                f"reading the response of {self.address}: {exc!r}"
+            ) from exc
+
     def _record_keep_alive(self, head: ResponseHead) -> None:
         for part in head.header("keep-alive").split(","):
             name, _, value = part.strip().partition("=")
--- a/packages/core/eelgrassdale/http1/server.py
+++ b/packages/core/eelgrassdale/http1/server.py
@@ -8,6 +8,7 @@
 import structlog
 from attrs import frozen
 
+from eelgrassdale.http1.memory import ByteBudget, MemoryExhausted
 from eelgrassdale.http1.messages import (
     Headers,
     Request,
@@ -28,6 +29,9 @@
 # Time for a caller to read an error before its connection is closed.
 LINGER_SECONDS = 0.5
 BACKLOG = 512
+DEFAULT_BODY_MEMORY_BYTES = 67_108_864
+# After this time, callers may send a request again whose body did not fit.
+MEMORY_RETRY_SECONDS = 1
 
 log = structlog.get_logger(__name__)
 
@@ -104,6 +108,9 @@
         Coroutine function that responds to one `Exchange`.
     limits : callable
         Returns the `CallerLimits` in force.
+    body_memory : ByteBudget, optional
+        Memory for the request bodies of all callers together. A request whose body
+        does not fit is refused with status 503.
     """
 
     def __init__(
@@ -111,7 +118,9 @@
         *,
         handler: Handler,
         limits: Callable[[], CallerLimits] = CallerLimits,
+        body_memory: ByteBudget | None = None,
     ) -> None:
+        self.body_memory = body_memory or ByteBudget(limit=DEFAULT_BODY_MEMORY_BYTES)
         self.handler = handler
         self.limits = limits
         self.is_draining = False
@@ -175,17 +184,25 @@
         self._server = server
         self._receiver = Receiver(reader=reader)
         self._writer = writer
+        self._body_memory = server.body_memory.reservation()
         self._is_idle = True
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits().header_bytes
         )
 
     async def run(self) -> None:
+        try:
+            await self._serve_requests()
+        finally:
+            self._body_memory.release()
+
+    async def _serve_requests(self) -> None:
         while True:
             exchange = await self._next_exchange()
             if exchange is None:
                 return
             await self._handle(exchange)
+            self._body_memory.release()
             if not exchange.is_finished or self._h11.our_state is not h11.DONE:
                 await self._close_after_response(exchange)
                 return
@@ -289,6 +306,7 @@
                     raise _RequestRefused(
                         413, f"body exceeds {limits.body_bytes} bytes"
                     )
+                self._reserve_body_memory(size)
                 parts.append(bytes(event.data))
                 continue
             try:
@@ -297,6 +315,12 @@
                 raise _RequestRefused(408, "body not received in time") from None
             self._h11.receive_data(data)
 
+    def _reserve_body_memory(self, size: int) -> None:
+        try:
+            self._body_memory.resize(size)
+        except MemoryExhausted as exc:
+            raise _RequestRefused(503, f"memory for bodies: {exc}") from None
+
     async def _refuse(self, status: int, reason: str) -> None:
         log.info("request refused before it was read", status=status, reason=reason)
         if self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -307,6 +331,8 @@
             ("content-length", str(len(body))),
             ("connection", "close"),
         )
+        if status == 503:
+            headers += (("retry-after", str(MEMORY_RETRY_SECONDS)),)
         with contextlib.suppress(OSError, h11.LocalProtocolError):
             await self.send_head(status, headers)
             await self.send(h11.Data(data=body))
--- a/packages/core/eelgrassdale/http1/tests/test_server.py
+++ b/packages/core/eelgrassdale/http1/tests/test_server.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from eelgrassdale.http1 import CallerLimits, HttpServer
+from eelgrassdale.http1 import ByteBudget, CallerLimits, HttpServer
 
 TEST_TIMEOUT_SECONDS = 5
 
@@ -126,6 +126,43 @@
     assert data.startswith(b"HTTP/1.1 413")
 
 
+def test_bodies_of_all_callers_share_a_bounded_memory():
+    """Guards against memory that grows with the number of callers that send bodies."""
+
+    async def run():
+        release = asyncio.Event()
+
+        async def handler(exchange):
+            await release.wait()
+            await exchange.respond(200)
+
+        server = HttpServer(handler=handler, body_memory=ByteBudget(limit=1500))
+        address = await server.start("127.0.0.1", 0)
+
+        async def post():
+            reader, writer = await asyncio.open_connection(*address)
+            head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n"
+            writer.write(head + b"x" * 1000)
+            status_line = await reader.readline()
+            writer.close()
+            return status_line.split()[1]
+
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            first = asyncio.ensure_future(post())
+            while not server.active_requests:
+                await asyncio.sleep(0.01)
+            second = await post()
+            release.set()
+            results = await first, second, await post()
+            while server.body_memory.used:
+                await asyncio.sleep(0.01)
+        server.stop_listening()
+        server.abort_all()
+        return results
+
+    assert asyncio.run(run()) == (b"200", b"503", b"200")
+
+
 def test_draining_server_sends_connection_close():
     async def client(reader, writer, server):
         server.start_draining()
--- a/packages/gateway/eelgrassdale_gateway/eventstream.py
+++ b/packages/gateway/eelgrassdale_gateway/eventstream.py
@@ -44,6 +44,11 @@
             raise EventTooLong(f"event exceeds {MAX_EVENT_BYTES} bytes")
         return events
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Size of the buffered partial event."""
+        return len(self._buffer)
+
     def has_partial_event(self) -> bool:
         """Return whether part of an incomplete event is buffered."""
         return bool(self._buffer)
@@ -72,6 +77,18 @@
     return None
 
 
+def is_comment(event: bytes) -> bool:
+    r"""Return whether an event has no field, as those that keep a connection alive.
+
+    Examples
+    --------
+    >>> is_comment(b": ping\n\n"), is_comment(b"id: 7\ndata: x\n\n")
+    (True, False)
+
+    """
+    return all(line.startswith(b":") for line in event.splitlines() if line)
+
+
 def _first_event_end(data: bytes) -> int:
     event_ends = [
         position + len(separator)
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -71,7 +71,11 @@
         if admitted.is_error():
             await self._send_error(exchange, admitted.error)
             return
-        call = Call(admitted=admitted.ok, exchange=exchange)
+        call = Call(
+            admitted=admitted.ok,
+            exchange=exchange,
+            response_memory=self._attempt_runner.response_memory.reservation(),
+        )
         self._retry_budgets.add_request(call.admitted.service)
         try:
             async with asyncio.timeout(
@@ -83,6 +87,8 @@
         except (asyncio.CancelledError, ConnectionError):
             self._record_end(call, ResultCode.CALLER_CANCELLED)
             raise
+        finally:
+            call.response_memory.release()
 
     async def refuse_for_shutdown(self, exchange: Exchange) -> None:
         """Refuse a request because this gateway is shutting down."""
--- a/packages/gateway/eelgrassdale_gateway/outcomes.py
+++ b/packages/gateway/eelgrassdale_gateway/outcomes.py
@@ -22,7 +22,7 @@
 
 @frozen(kw_only=True)
 class Withdrawn:
-    """The gateway ended an attempt that had not begun in time; it may have run."""
+    """The gateway ended the attempt for a reason of its own; it may have run."""
 
     reason: str
 
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -9,7 +9,13 @@
 from attrs import evolve, frozen
 
 from eelgrassdale.clock import Clock, SystemClock
-from eelgrassdale.http1 import CallerLimits, ConnectionPool, Exchange, HttpServer
+from eelgrassdale.http1 import (
+    ByteBudget,
+    CallerLimits,
+    ConnectionPool,
+    Exchange,
+    HttpServer,
+)
 from eelgrassdale.pauses import PAUSE_CHECK_INTERVAL_SECONDS, PauseDetector
 from eelgrassdale_gateway.attempts import AttemptRunner
 from eelgrassdale_gateway.dispatcher import Dispatcher
@@ -60,7 +66,8 @@
     operators set a newer one; `startup_grace_seconds` is the same for versions set
     before this process started. `retry_ratio` and `retry_slack` limit the retries of
     all gateways together. `stop_seconds` is the time that the platform gives the
-    process to stop.
+    process to stop. `body_memory_bytes` limits the memory for the bodies of all
+    requests together, and as much for those of all responses.
     """
 
     name: str
@@ -75,6 +82,7 @@
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
     stop_seconds: float = 8.0
+    body_memory_bytes: int = 33_554_432
 
 
 class Gateway:
@@ -148,13 +156,20 @@
             routing_state=self.routing_state,
             dispatcher=self.dispatcher,
             attempt_runner=AttemptRunner(
-                clock=self._clock, pool=self._pool, header_names=header_names
+                clock=self._clock,
+                pool=self._pool,
+                header_names=header_names,
+                response_memory=ByteBudget(limit=cfg.body_memory_bytes),
             ),
             retry_budgets=self._retry_budgets,
             header_names=header_names,
             telemetry=self.telemetry,
         )
-        self.server = HttpServer(handler=self._handle, limits=self._caller_limits)
+        self.server = HttpServer(
+            handler=self._handle,
+            limits=self._caller_limits,
+            body_memory=ByteBudget(limit=cfg.body_memory_bytes),
+        )
         self.relay = ChunkRelay(
             me=_gateway_endpoint(self.peers.me, cfg.peer_address),
             gateways=self._live_gateway_endpoints,
