Tell other regions of live gateways by two reporters of a data centre

Cause: each gateway sent a sign of life to each gateway of the other regions every 1.2 s, so messages between regions, and the heartbeats that a gateway decodes, grew with the square of the fleet.

Ruled out: longer intervals alone, which keep the growth.

Change: the reporter of a data centre lists its live gateways as 4-byte keys in the reports that it sends anyway, and a second one does so in its signs of life. The others send theirs every 10 s. A silent gateway stays live no longer than before.

Result: test_datagrams_between_regions_grow_with_the_gateways_and_not_their_ square and test_gateways_of_another_region_stay_live_by_reports.

--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -2,11 +2,14 @@
 
 All nodes have the same role; there is no election. A node sends its heartbeat
 to every peer that it knows. Each heartbeat also lists a few live peers, so that
-a node that knows one gateway finds the others.
+a node that knows one gateway finds the others. Of other regions, a node mostly hears
+through the reports of two gateways of each data centre.
 """
 
 import asyncio
+import zlib
 from collections.abc import Callable, Iterable, Mapping
+from functools import lru_cache
 from random import Random
 
 import structlog
@@ -30,10 +33,19 @@
 # Reported loads must be about as fresh as the time between two requests of a node.
 HEARTBEAT_INTERVAL_SECONDS = 0.15
 # Peers of other regions get heartbeats less often: requests are sent there less
-# often, and the links cost more. One node of a data centre reports to them the
-# loads of all its gateways; the others only send signs of life.
+# often, and the links cost more. Two nodes of a data centre report to them which of
+# its gateways are alive, and the first one also the loads of all of them. So the
+# messages between regions grow with the number of gateways and not with its square.
 REPORT_INTERVAL_HEARTBEATS = 4
-KEEPALIVE_INTERVAL_HEARTBEATS = 8
+SECOND_REPORT_INTERVAL_HEARTBEATS = 8
+# The other nodes tell them directly of themselves, in case no reporter reaches them.
+DIRECT_INTERVAL_HEARTBEATS = 64
+REPORTERS_PER_DATA_CENTRE = 2
+# A report lists the gateways heard within the first time, and counts for the second
+# one. Both and the interval of reports add up to the time-out of remote peers, so that
+# a silent gateway does not stay live for longer than without reports.
+REPORTED_AS_LIVE_SECONDS = 1.0
+REPORT_LIFETIME_SECONDS = 2.4
 # Time without a heartbeat after which a peer of the same or of another region
 # counts as dead. Both cover at least three heartbeats, since a working link does
 # not lose three in a row.
@@ -66,12 +78,17 @@
 
 @define(kw_only=True)
 class Peer:
-    """Another gateway; `info` is None until its first heartbeat arrived."""
+    """Another gateway; `info` is None until its first heartbeat arrived.
+
+    `heard_at` is when its last heartbeat arrived, `reported_at` when a reporter of its
+    data centre last listed it as alive.
+    """
 
     address: Address
     info: NodeInfo | None = None
     sequence: int = -1
     heard_at: float = float("-inf")
+    reported_at: float = float("-inf")
     added_at: float = 0.0
     is_leaving: bool = False
     revisions: Mapping[str, int] = field(factory=dict)
@@ -102,6 +119,7 @@
         self._on_notice = on_notice
         self._rng = Random(seed)
         self._peers: dict[Address, Peer] = {}
+        self._peers_by_key: dict[int, Peer] = {}
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
         self._started_at = clock.monotonic()
@@ -126,7 +144,8 @@
             return
         if len(self._peers) >= MAX_PEERS:
             return
-        self._peers[address] = Peer(address=address, added_at=self._clock.monotonic())
+        peer = Peer(address=address, added_at=self._clock.monotonic())
+        self._peers[address] = self._peers_by_key[_member_key(address)] = peer
         self._group = None
 
     async def run(self) -> None:
@@ -189,29 +208,24 @@
         now = self._clock.monotonic()
         self._sequence += 1
         self._forget_expired(now)
-        is_reporter = self._is_reporter()
+        remote_interval = self._remote_interval()
         in_region_data = encode(
             self._heartbeat(now, self._loads.own_loads(), with_loads=True)
         )
-        remote_loads = self._data_centre_loads(now) if is_reporter else {}
-        remote_data = encode(self._heartbeat(now, remote_loads, with_loads=is_reporter))
+        remote_data = encode(self._remote_heartbeat(now, remote_interval))
         for position, peer in enumerate(self._peers.values()):
-            interval = self._heartbeat_interval(peer, now, is_reporter=is_reporter)
+            interval = self._heartbeat_interval(peer, now, remote_interval)
             if (self._sequence + position) % interval == 0:
                 data = in_region_data if self._is_in_region(peer) else remote_data
                 self._transport.sendto(data, peer.address)
 
-    def _heartbeat_interval(self, peer: Peer, now: float, *, is_reporter: bool) -> int:
+    def _heartbeat_interval(self, peer: Peer, now: float, remote_interval: int) -> int:
         """Return the interval of a peer: it gets one of that many heartbeats."""
         if now - peer.added_at < PEER_TIMEOUT_SECONDS or self.is_leaving:
             return 1
-        if now - peer.heard_at > REMOTE_PEER_TIMEOUT_SECONDS:
+        if _silence_seconds(peer, now) > REMOTE_PEER_TIMEOUT_SECONDS:
             return SILENT_PEER_INTERVAL_HEARTBEATS
-        if self._is_in_region(peer):
-            return 1
-        return (
-            REPORT_INTERVAL_HEARTBEATS if is_reporter else KEEPALIVE_INTERVAL_HEARTBEATS
-        )
+        return 1 if self._is_in_region(peer) else remote_interval
 
     def _is_in_region(self, peer: Peer) -> bool:
         return peer.info is None or peer.info.region == self.me.region
@@ -221,11 +235,32 @@
         info = (peer.info for peer in self.live_peers())
         return [f.name for f in info if f.data_centre == self.me.data_centre]
 
-    def _is_reporter(self) -> bool:
-        """Return whether this node reports its data centre's loads to other regions."""
+    def _remote_interval(self) -> int:
+        """Return the interval for peers of other regions, by this node's rank."""
         members = [*self._local_peer_names(), self.me.name]
         topic = f"report/{self.me.data_centre}"
-        return rendezvous_order(key=topic, members=members)[0] == self.me.name
+        reporters = rendezvous_order(key=topic, members=members)[
+            :REPORTERS_PER_DATA_CENTRE
+        ]
+        if self.me.name not in reporters:
+            return DIRECT_INTERVAL_HEARTBEATS
+        if self.me.name == reporters[0]:
+            return REPORT_INTERVAL_HEARTBEATS
+        return SECOND_REPORT_INTERVAL_HEARTBEATS
+
+    def _remote_heartbeat(self, now: float, interval: int) -> Heartbeat:
+        """Return a heartbeat for other regions, with the reports that are due."""
+        is_first_reporter = interval == REPORT_INTERVAL_HEARTBEATS
+        loads = self._data_centre_loads(now) if is_first_reporter else {}
+        heartbeat = self._heartbeat(now, loads, with_loads=is_first_reporter)
+        if interval != DIRECT_INTERVAL_HEARTBEATS:
+            heartbeat.live_members = [
+                _member_key(peer.address)
+                for peer in self.live_peers()
+                if peer.info.data_centre == self.me.data_centre
+                and now - peer.heard_at <= REPORTED_AS_LIVE_SECONDS
+            ]
+        return heartbeat
 
     def _data_centre_loads(self, now: float) -> Mapping[str, Load]:
         """Return the load of this data centre's gateways at each backend server."""
@@ -245,8 +280,8 @@
     def _handle_heartbeat(self, heartbeat: Heartbeat, addr: Address) -> None:
         self.add_peer(addr)
         peer = self._peers.get(addr)
-        if peer is not None:
-            self._update_peer(peer, heartbeat)
+        if peer is not None and self._update_peer(peer, heartbeat):
+            self._apply_report(heartbeat)
         for known in heartbeat.known:
             self.add_peer((known.host, known.port))
 
@@ -254,12 +289,25 @@
         """Ignore send errors: peers are judged by their heartbeats only."""
         log.debug("a datagram could not be delivered", error=repr(exc))
 
-    def _update_peer(self, peer: Peer, heartbeat: Heartbeat) -> None:
+    def _apply_report(self, heartbeat: Heartbeat) -> None:
+        """Record the gateways that the sender reports as live in its data centre."""
+        now = self._clock.monotonic()
+        for key in heartbeat.live_members or ():
+            peer = self._peers_by_key.get(key)
+            if peer is None or peer.info is None:
+                continue
+            if peer.info.data_centre == heartbeat.data_centre:
+                was_live = self._is_live(peer, now)
+                peer.reported_at = now
+                self._log_liveness(peer, was_live=was_live, now=now)
+
+    def _update_peer(self, peer: Peer, heartbeat: Heartbeat) -> bool:
+        """Apply a heartbeat; return False if a later one arrived before."""
         now = self._clock.monotonic()
         info = peer.info
         incarnation = info.incarnation if info else -1
         if (heartbeat.incarnation, heartbeat.sequence) <= (incarnation, peer.sequence):
-            return
+            return False
         was_live = self._is_live(peer, now)
         peer.info = _node_info(heartbeat)
         peer.sequence = heartbeat.sequence
@@ -275,29 +323,31 @@
             for load in heartbeat.loads
         }
         self._loads.record_report(peer.info.name, loads, now=now)
+        self._log_liveness(peer, was_live=was_live, now=now)
+        return True
+
+    def _log_liveness(self, peer: Peer, *, was_live: bool, now: float) -> None:
         if was_live != self._is_live(peer, now):
             log.info(
                 "peer liveness changed",
                 peer=peer.info.name,
                 is_live=not was_live,
-                incarnation=heartbeat.incarnation,
+                incarnation=peer.info.incarnation,
             )
 
     def _is_live(self, peer: Peer, now: float) -> bool:
         if peer.info is None or peer.is_leaving:
             return False
-        timeout = (
-            PEER_TIMEOUT_SECONDS
-            if self._is_in_region(peer)
-            else REMOTE_PEER_TIMEOUT_SECONDS
-        )
-        return now - peer.heard_at <= timeout
+        if self._is_in_region(peer):
+            return now - peer.heard_at <= PEER_TIMEOUT_SECONDS
+        return _silence_seconds(peer, now) <= REMOTE_PEER_TIMEOUT_SECONDS
 
     def _forget_expired(self, now: float) -> None:
         for address, peer in list(self._peers.items()):
-            last_sign_of_life = max(peer.heard_at, peer.added_at)
+            last_sign_of_life = max(peer.heard_at, peer.reported_at, peer.added_at)
             if now - last_sign_of_life > PEER_RETENTION_SECONDS:
                 del self._peers[address]
+                self._peers_by_key.pop(_member_key(address), None)
                 self._group = None
                 if peer.info is not None:
                     self._loads.remove_peer(peer.info.name)
@@ -334,6 +384,19 @@
         )
 
 
+def _silence_seconds(peer: Peer, now: float) -> float:
+    """Return the time without a heartbeat, or 0 while a report lists the peer."""
+    if now - peer.reported_at <= REPORT_LIFETIME_SECONDS:
+        return 0.0
+    return now - peer.heard_at
+
+
+@lru_cache(maxsize=2 * MAX_PEERS)
+def _member_key(address: Address) -> int:
+    """Return a key of 31 bits that stands for a gateway in reports."""
+    return zlib.crc32(_address_label(address).encode()) >> 1
+
+
 def _address_label(address: Address) -> str:
     return f"{address[0]}:{address[1]}"
 
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -31,6 +31,8 @@
     9: list<ServerLoad> loads
     10: list<PeerAddress> known
     11: list<KindRevision> revisions
+    // Keys of the live gateways of the sender's data centre, in reports to others.
+    12: list<i32> live_members
 }
 
 // State of an engine, sent to gateways by the agent on its VM. `is_open` is false
--- a/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
@@ -1,5 +1,7 @@
 """Tests of membership by heartbeats, over an in-memory network."""
 
+from collections import Counter
+
 import pytest
 
 from eelgrassdale.clock import ManualClock
@@ -8,6 +10,7 @@
 from eelgrassdale_gateway.notices import NoticeRegistry
 from eelgrassdale_gateway.peers import (
     ASSUMED_GATEWAYS,
+    DIRECT_INTERVAL_HEARTBEATS,
     PEER_RETENTION_SECONDS,
     PEER_TIMEOUT_SECONDS,
     REMOTE_PEER_TIMEOUT_SECONDS,
@@ -60,9 +63,15 @@
         self.wire = wire
         self.address = address
         self.sent = {}
+        self.counts = Counter()
+
+    def count_to(self, prefix):
+        """Return the number of datagrams sent to nodes with a name prefix."""
+        return sum(n for name, n in self.counts.items() if name.startswith(prefix))
 
     def sendto(self, data, target):
         self.sent[target] = self.sent.get(target, 0) + len(data)
+        self.counts[target[0]] += 1
         endpoints = {self.address[0], target[0]}
         if target in self.wire.nodes and not endpoints & self.wire.cut_off:
             self.wire.nodes[target].datagram_received(data, self.address)
@@ -183,6 +192,38 @@
     assert names(north[0]) == ["n-1", "s-1"]
 
 
+@pytest.mark.parametrize("silent_reporters", [0, 1])
+def test_gateways_of_another_region_stay_live_by_reports(silent_reporters):
+    """Guards against a data centre that seems gone when one reporter is cut off."""
+    wire, north, south = two_regions(6)
+    reporters = [
+        node for node in south if node._remote_interval() < DIRECT_INTERVAL_HEARTBEATS
+    ]
+    assert len(reporters) == 2
+    silent = {node.me.name for node in reporters[:silent_reporters]}
+    wire.cut_off.update(silent)
+    wire.run(rounds=60)
+    expected = {f"s-{number}" for number in range(6)} - silent
+    for node in north:
+        assert {name for name in names(node) if name.startswith("s-")} == expected
+
+
+def test_datagrams_between_regions_grow_with_the_gateways_and_not_their_square():
+    """Guards against signs of life from each gateway to each one of other regions.
+
+    They were most of the datagrams between regions, and a large part of the bytes.
+    """
+    datagrams = {}
+    for count in (6, 24):
+        wire, north, _ = two_regions(count)
+        before = sum(node.transport.count_to("s-") for node in north)
+        wire.run(rounds=DIRECT_INTERVAL_HEARTBEATS)
+        after = sum(node.transport.count_to("s-") for node in north)
+        datagrams[count] = after - before
+    # Four times as many receivers of two reporters; the rest is sent rarely.
+    assert datagrams[24] <= 2 * 4 * datagrams[6]
+
+
 def test_delayed_heartbeat_of_an_earlier_start_changes_nothing():
     wire = FakeNetwork()
     a = wire.add("a")
