Count the grace of older versions from the start of the process

The grace of the versions in it counted from that list, and 13 requests began on version 2 up to 0.1 s after these gateways counted as in touch again.

Ruled out: requests that waited at an engine; each began within 0.1 s.

Change: the grace of the first list counts from the start of the process and has ended at once if the list arrives later than that.

Result: test_first_list_that_arrives_late_does_not_prolong_the_grace fails without the change.

--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -63,11 +63,11 @@
     """Settings of one gateway; times in seconds.
 
     `version_grace_seconds` is how long an older model version may serve after
-    operators set a newer one; `startup_grace_seconds` is the same for versions set
-    before this process started. `retry_ratio` and `retry_slack` limit the retries of
-    all gateways together. `stop_seconds` is the time that the platform gives the
-    process to stop. `body_memory_bytes` limits the memory for the bodies of all
-    requests together, and as much for those of all responses.
+    operators set a newer one; `startup_grace_seconds` is the same from the start of
+    this process for versions set before it. `retry_ratio` and `retry_slack` limit the
+    retries of all gateways together. `stop_seconds` is the time that the platform
+    gives the process to stop. `body_memory_bytes` limits the memory for the bodies of
+    all requests together, and as much for those of all responses.
     """
 
     name: str
@@ -107,6 +107,7 @@
         self.routing_state = RoutingState(
             version_grace_seconds=cfg.version_grace_seconds,
             start_grace=cfg.startup_grace_seconds,
+            started_at=self._clock.monotonic(),
         )
         self.servers = ServerList()
         self._pauses = PauseDetector(clock=self._clock)
--- a/packages/gateway/eelgrassdale_gateway/routingstate.py
+++ b/packages/gateway/eelgrassdale_gateway/routingstate.py
@@ -31,10 +31,13 @@
         Seconds after a version became the target in which older versions may
         still serve.
     start_grace : float
-        The same for versions that are in the first list that this process gets.
+        The same for versions that are in the first list that this process gets,
+        which became the target at an unknown time. It counts from `started_at`.
     queue_seconds : float
         Seconds after the grace in which a request that was sent in time may still
         begin on an older version.
+    started_at : float
+        Monotonic time of the start of this process.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         version_grace_seconds: float,
         start_grace: float,
         queue_seconds: float = 0.5,
+        started_at: float = 0.0,
     ) -> None:
         self.table: RouteTable | None = None
         self.servers: Mapping[str, BackendServer] = {}
@@ -51,6 +55,7 @@
         self.version_grace_seconds = version_grace_seconds
         self.queue_seconds = queue_seconds
         self._start_grace = start_grace
+        self._started_at = started_at
         self._targets: dict[str, list[TargetVersion]] = {}
         self.has_target_versions = False
         self._listeners: list[Callable[[], None]] = []
@@ -107,14 +112,18 @@
     ) -> None:
         """Record the target version of each model.
 
-        Versions in the first list became the target at an unknown earlier time.
-        After a pause of this process, a new version may have become the target
+        Versions in the first list became the target at an unknown earlier time, and
+        the list itself may arrive late, so their grace counts from the start of this
+        process. After a pause of this process, a new version may have become the target
         up to `staleness_seconds` ago, so its grace is shortened by that time, but not
         below `start_grace`.
         """
-        grace = self._start_grace
         if self.has_target_versions:
-            grace = max(grace, self.version_grace_seconds - staleness_seconds)
+            grace = max(
+                self._start_grace, self.version_grace_seconds - staleness_seconds
+            )
+        else:
+            grace = max(0.0, self._started_at + self._start_grace - now)
         self.has_target_versions = True
         for model, version in versions.items():
             targets = self._targets.setdefault(model, [])
--- a/packages/gateway/eelgrassdale_gateway/tests/test_routingstate.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_routingstate.py
@@ -31,6 +31,23 @@
     assert required == [0, 1, 2, 3]
 
 
+def test_first_list_that_arrives_late_does_not_prolong_the_grace():
+    """Guards against a grace that counts from the first list of a new process.
+
+    After a restart of many gateways the list came 2 s late, and requests began on a
+    version that might no longer serve.
+    """
+    routing_state = RoutingState(
+        version_grace_seconds=5.0, start_grace=2.0, started_at=100.0
+    )
+    routing_state.set_target_versions({"m": 3}, now=101.5)
+    assert routing_state.required_version("m", 101.9) == 0
+    assert routing_state.required_version("m", 102.0) == 3
+    late = RoutingState(version_grace_seconds=5.0, start_grace=2.0, started_at=100.0)
+    late.set_target_versions({"m": 3}, now=104.0)
+    assert late.required_version("m", 104.0) == 3
+
+
 def test_target_seen_after_a_pause_is_mandatory_as_if_set_at_its_start():
     """Guards against a grace that counts from the end of a pause.
 
