Split the reading of responses from attempts, and detect cut events

Cause of the change in behaviour: a stream that a backend server ended with a valid last chunk, but within an event, was relayed with the part of the event and ended as complete. It now counts as lost: it is continued on another server where it may be, and is visibly incomplete otherwise.

--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -0,0 +1,32 @@
+"""State of one caller's request while the gateway handles it."""
+
+from attrs import define
+
+from eelgrassdale.http1 import Exchange, Reservation
+from eelgrassdale_gateway.admission import AdmittedRequest
+
+
+@define(kw_only=True, eq=False)
+class Call:
+    """State of one caller's request across all of its attempts.
+
+    `send_count` counts the times it was written to a connection, `run_count`
+    the attempts that may have run it. `event_count` and `last_event_id` describe
+    the stream events already relayed to the caller. `response_memory` counts the
+    bytes of a response that are held.
+    """
+
+    admitted: AdmittedRequest
+    exchange: Exchange
+    response_memory: Reservation
+    may_have_run: bool = False
+    run_count: int = 0
+    send_count: int = 0
+    last_event_id: int | None = None
+    event_count: int = 0
+    last_event_at: float = 0.0
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether the request may run more than once."""
+        return self.admitted.route.is_idempotent
--- a/packages/gateway/eelgrassdale_gateway/eventstream.py
+++ b/packages/gateway/eelgrassdale_gateway/eventstream.py
@@ -53,11 +53,6 @@
         """Return whether part of an incomplete event is buffered."""
         return bool(self._buffer)
 
-    def take_partial_event(self) -> bytes:
-        """Return and clear the bytes after the last complete event."""
-        partial_event, self._buffer = self._buffer, b""
-        return partial_event
-
 
 def event_id(event: bytes) -> int | None:
     r"""Return the numeric id of an event, or None if it has none.
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -8,7 +8,8 @@
 from eelgrassdale.http1 import Exchange
 from eelgrassdale.results import ResultCode, ResultError, info_of
 from eelgrassdale_gateway.admission import admit
-from eelgrassdale_gateway.attempts import AttemptRunner, Call, response_headers
+from eelgrassdale_gateway.attempts import AttemptRunner
+from eelgrassdale_gateway.calls import Call
 from eelgrassdale_gateway.dispatcher import Dispatcher, PlacementRefused
 from eelgrassdale_gateway.headernames import HeaderNames
 from eelgrassdale_gateway.loads import InFlightRequest
@@ -22,6 +23,7 @@
     Withdrawn,
 )
 from eelgrassdale_gateway.queueing import Waiter, is_late, retry_after_seconds
+from eelgrassdale_gateway.responses import response_headers
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.telemetry import RequestTelemetry
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/responses.py
@@ -0,0 +1,136 @@
+"""Reads the response of a backend server, and relays a stream to the caller.
+
+An attempt ends when its response makes no progress. Progress is a further event of a
+stream, or a certain number of bytes of another response, and not any byte.
+"""
+
+import asyncio
+
+from eelgrassdale.clock import Clock
+from eelgrassdale.http1 import ClientConnection, ExchangeFailed, ResponseHead
+from eelgrassdale.http1.messages import end_to_end_headers
+from eelgrassdale_gateway.calls import Call
+from eelgrassdale_gateway.eventstream import (
+    EventSplitter,
+    EventTooLong,
+    event_id,
+    is_comment,
+)
+from eelgrassdale_gateway.outcomes import Lost, Outcome, Relayed
+from eelgrassdale_gateway.progress import ProgressTimer
+
+# Limit of responses that are buffered whole before they are sent to the caller.
+MAX_RESPONSE_BYTES = 8_388_608
+# A refusal has no body of use to the caller. One that does not end within these
+# limits costs only its connection.
+MAX_REFUSAL_BYTES = 16_384
+REFUSAL_BODY_SECONDS = 0.2
+# Bytes of a body that count as progress: a server that sends a byte now and then is
+# stalled.
+MIN_PROGRESS_BYTES = 1024
+
+
+def response_headers(head: ResponseHead) -> tuple[tuple[str, str], ...]:
+    """Return the headers of a backend server's response that are sent to callers."""
+    return end_to_end_headers(head.headers, drop={"content-length"})
+
+
+async def skip_body(conn: ClientConnection) -> bool:
+    """Read and drop a short body; return whether it ended."""
+    try:
+        async with asyncio.timeout(REFUSAL_BODY_SECONDS):
+            await conn.body(limit=MAX_REFUSAL_BYTES)
+    except (ExchangeFailed, TimeoutError):
+        return False
+    return True
+
+
+async def read_body(
+    call: Call, conn: ClientConnection, *, timer: ProgressTimer
+) -> bytes:
+    """Return the whole body of a response that is not streamed.
+
+    Raises
+    ------
+    ExchangeFailed
+        If the connection failed or the body is too long.
+    MemoryExhausted
+        If the memory for the responses of all requests has no room for it.
+    TimeoutError
+        If the body made no progress in time.
+    """
+    parts: list[bytes] = []
+    size = size_at_progress = 0
+    while (part := await conn.chunk(timeout=timer.remaining_seconds())) is not None:
+        size += len(part)
+        if size > MAX_RESPONSE_BYTES:
+            raise ExchangeFailed(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
+        call.response_memory.resize(size)
+        parts.append(part)
+        if size - size_at_progress >= MIN_PROGRESS_BYTES:
+            size_at_progress = size
+            timer.record_progress()
+    return b"".join(parts)
+
+
+async def relay_stream(
+    call: Call,
+    conn: ClientConnection,
+    head: ResponseHead,
+    *,
+    timer: ProgressTimer,
+    clock: Clock,
+) -> tuple[Outcome, bool]:
+    """Relay each event to the caller once it has arrived completely.
+
+    Return the outcome and whether the connection can be reused. Raises as `read_body`
+    does.
+    """
+    splitter = EventSplitter()
+    while (data := await conn.chunk(timeout=timer.remaining_seconds())) is not None:
+        try:
+            events = splitter.feed(data)
+        except EventTooLong as exc:
+            return Lost(reason=str(exc)), False
+        call.response_memory.resize(splitter.buffered_bytes)
+        event_count = call.event_count
+        if not await _relay_events(call, head, events, now=clock.monotonic()):
+            return Lost(reason="gap in the event ids"), False
+        if call.event_count > event_count:
+            timer.record_progress()
+    if splitter.has_partial_event():
+        return Lost(reason="stream ended within an event"), False
+    await _start_response(call, head)
+    await call.exchange.finish()
+    return Relayed(), True
+
+
+async def _relay_events(
+    call: Call, head: ResponseHead, events: list[bytes], *, now: float
+) -> bool:
+    """Send the events that the caller lacks; return False if one is missing."""
+    new_events = []
+    for event in events:
+        event_number = event_id(event)
+        if event_number is not None:
+            last_event_id = call.last_event_id
+            if last_event_id is not None and event_number <= last_event_id:
+                continue
+            if last_event_id is not None and event_number != last_event_id + 1:
+                return False
+            call.last_event_id = event_number
+        new_events.append(event)
+    if not new_events:
+        return True
+    event_count = sum(not is_comment(event) for event in new_events)
+    if event_count:
+        call.event_count += event_count
+        call.last_event_at = now
+    await _start_response(call, head)
+    await call.exchange.write(b"".join(new_events))
+    return True
+
+
+async def _start_response(call: Call, head: ResponseHead) -> None:
+    if not call.exchange.is_started:
+        await call.exchange.start(head.status, response_headers(head))
--- a/packages/gateway/eelgrassdale_gateway/tests/test_misbehaving_servers.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_misbehaving_servers.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from eelgrassdale.http1 import ExchangeFailed
 from eelgrassdale_gateway.attempts import STREAM_SILENCE_SECONDS
 from eelgrassdale_gateway.tests.harness import (
     ScriptedBackend,
@@ -171,11 +172,6 @@
 @pytest.mark.parametrize("filler", [b": ping\n\n", b"x"])
 def test_stalled_stream_that_sends_a_byte_now_and_then_is_continued_elsewhere(filler):
     """Guards against a stream without events that never ends."""
-
-    async def continue_stream(req, writer):
-        first = int(req.get("t-last-event", 0)) + 1
-        writer.write(stream_head(req) + chunk(event(first)) + chunk(b""))
-
     reply_in_turn = first_reply_then(stalled_stream(filler), continue_stream)
 
     async def scenario(harness):
@@ -187,6 +183,38 @@
     assert run_scenario(scenario) == event(1) + event(2)
 
 
+async def stream_cut_within_an_event(req, writer):
+    """Write a stream with a valid end after a part of its second event."""
+    part = event(2)[:-4]
+    writer.write(stream_head(req) + chunk(event(1)) + chunk(part) + chunk(b""))
+
+
+async def continue_stream(req, writer):
+    first = int(req.get("t-last-event", 0)) + 1
+    writer.write(stream_head(req) + chunk(event(first)) + chunk(b""))
+
+
+def test_stream_that_ends_within_an_event_is_continued_elsewhere():
+    """Guards against a cut stream that reaches its caller as a complete one."""
+    reply_in_turn = first_reply_then(stream_cut_within_an_event, continue_stream)
+
+    async def scenario(harness):
+        backends = [ScriptedBackend(reply=reply_in_turn) for _ in range(2)]
+        await harness.start("engine", *backends)
+        return (await harness.send_request("/stream/"))[1]
+
+    assert run_scenario(scenario) == event(1) + event(2)
+
+
+def test_stream_that_ends_within_an_event_and_may_run_once_looks_incomplete():
+    async def scenario(harness):
+        await harness.start("engine", ScriptedBackend(reply=stream_cut_within_an_event))
+        with pytest.raises(ExchangeFailed):
+            await harness.send_request("/once/")
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("path", ["/stream/", "/once/"])
 def test_slow_but_sound_stream_is_not_cut(path):
     async def slow(req, writer):
