Fetch a version from gateways that lack another one

Each gateway answered 503 for its digests, and each such answer made the agent leave that gateway alone for 3 s, also for the chunks of version 2, which the gateways had.

Ruled out: the origin for version 2, whose copy was out before it went down; the links of the agents, which carried little meanwhile.

Change: 503 is DataUnavailable and leaves the gateway in use; only one that does not answer is left alone. An agent reads the list of its peers while it reads the digests, and goes on as soon as its engine answers, not at the next poll.

Result: test_version_without_a_copy_does_not_keep_the_agent_from_another_one ran into its limit of 1.5 s before and passes after.

--- a/packages/gateway/eelgrassdale_gateway/staging/engine.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/engine.py
@@ -17,6 +17,10 @@
     """The origin or a gateway refused a read or did not answer it."""
 
 
+class DataUnavailable(SourceUnavailable):
+    """A gateway answered, but does not have the data now."""
+
+
 class VersionGone(SourceUnavailable):
     """The origin no longer has this version."""
 
--- a/packages/gateway/eelgrassdale_gateway/staging/fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/fetching.py
@@ -9,6 +9,7 @@
 from eelgrassdale.clock import Clock
 from eelgrassdale_gateway.staging.chunks import ChunkSet, WeightsManifest
 from eelgrassdale_gateway.staging.engine import (
+    DataUnavailable,
     SourceUnavailable,
     VersionGone,
     WeightsOrigin,
@@ -209,7 +210,10 @@
         return [by_name[name] for name in reading_order(key, count, index, by_name)]
 
     def _record_failure(self, gateway: GatewayEndpoint, exc: SourceUnavailable) -> None:
-        self._cooldown_until[gateway.name] = (
-            self._clock.monotonic() + GATEWAY_COOLDOWN_SECONDS
-        )
+        # A gateway without a copy of one version may have the other chunks that this
+        # agent needs, so only one that does not answer is left alone for a while.
+        if not isinstance(exc, DataUnavailable):
+            self._cooldown_until[gateway.name] = (
+                self._clock.monotonic() + GATEWAY_COOLDOWN_SECONDS
+            )
         log.info("reading a chunk failed", source=gateway.name, reason=str(exc))
--- a/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
@@ -74,7 +74,7 @@
         Called before, during and after a load with whether the engine accepts
         new requests, the model, and its loaded version (0 for none).
     before_transfer : callable
-        Coroutine function called before the manifest of a version is read, to
+        Coroutine function called while the manifest of a version is read, to
         refresh the data behind the other callables.
     """
 
@@ -148,8 +148,10 @@
         for name, model in list(self._models.items()):
             if not self._needs_update(name, model) or model.newest_target in model.sets:
                 continue
-            await self._before_transfer()
-            manifest = await self._fetcher.manifest(name, model.newest_target)
+            manifest, _ = await asyncio.gather(
+                self._fetcher.manifest(name, model.newest_target),
+                self._before_transfer(),
+            )
             chunks = ChunkSet(manifest=manifest)
             await self._recover_staged(chunks)
             model.add_set(chunks)
@@ -228,7 +230,9 @@
             self._is_engine_reachable = False
             raise
         self._state = state
-        self._is_engine_reachable = True
+        if not self._is_engine_reachable:
+            self._is_engine_reachable = True
+            self._notify()
         if state.is_busy:
             return
         for name, model in list(self._models.items()):
--- a/packages/gateway/eelgrassdale_gateway/staging/serving.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/serving.py
@@ -16,7 +16,7 @@
     ResponseHead,
 )
 from eelgrassdale_gateway.staging.chunks import WeightsManifest
-from eelgrassdale_gateway.staging.engine import SourceUnavailable
+from eelgrassdale_gateway.staging.engine import DataUnavailable, SourceUnavailable
 
 # Unit of paced writes. The reader's link also carries requests to the engine on
 # its VM, which are delayed by at most one slice.
@@ -152,7 +152,7 @@
         ------
         SourceUnavailable
             If the gateway does not answer in `timeout` seconds, or does not
-            answer with status 200.
+            answer with status 200. `DataUnavailable` if it has no copy now.
         """
         host = f"{address[0]}:{address[1]}"
         req = Request(
@@ -164,6 +164,8 @@
                 head, data = await self._pool.call(address, req, limit=MAX_ANSWER_BYTES)
         except (ConnectFailed, ExchangeFailed, TimeoutError) as exc:
             raise SourceUnavailable(f"{host}: {exc!r}") from exc
+        if head.status == 503:
+            raise DataUnavailable(f"{host}: has no copy now")
         if head.status != 200:
             raise SourceUnavailable(f"{host}: status {head.status}")
         return data
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/test_fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/test_fetching.py
@@ -5,9 +5,12 @@
 import pytest
 
 from eelgrassdale.clock import SystemClock
+from eelgrassdale.http1 import HttpServer
 from eelgrassdale_gateway.staging.chunks import ChunkSet, manifest_of
-from eelgrassdale_gateway.staging.engine import VersionGone
-from eelgrassdale_gateway.staging.fetching import Fetcher
+from eelgrassdale_gateway.staging.engine import SourceUnavailable, VersionGone
+from eelgrassdale_gateway.staging.fetching import GATEWAY_COOLDOWN_SECONDS, Fetcher
+from eelgrassdale_gateway.staging.relay import GatewayEndpoint
+from eelgrassdale_gateway.staging.serving import WeightsServer
 from eelgrassdale_gateway.staging.tests.cluster import FakeOrigin, weights
 
 
@@ -33,3 +36,42 @@
     with pytest.raises(ExceptionGroup) as caught:
         asyncio.run(run())
     assert caught.value.subgroup(VersionGone) is not None
+
+
+def test_version_without_a_copy_does_not_keep_the_agent_from_another_one():
+    """Guards against gateways that are left alone for a version they cannot have yet.
+
+    While the origin was down, each read of the digests of the newest version stopped
+    the transfer of the one before it, which the gateways had, for 3 s.
+    """
+    chunks = ChunkSet(manifest=manifest_of("m", 2, weights(2)))
+
+    async def read(chunk_request):
+        if chunk_request.version != 2:
+            raise SourceUnavailable("the origin is down")
+        return weights(2)[chunk_request.index]
+
+    async def run():
+        server = HttpServer(handler=WeightsServer(read=read).handle)
+        address = await server.start("127.0.0.1", 0)
+        gateway = GatewayEndpoint(
+            name="g", data_centre="a", region="n", address=address
+        )
+        fetcher = Fetcher(
+            data_centre="a",
+            region="n",
+            clock=SystemClock(),
+            gateways=lambda: (gateway,),
+            origin=lambda: None,
+            link_bytes_per_second=0.0,
+        )
+        try:
+            with pytest.raises(SourceUnavailable):
+                await fetcher.manifest("m", 3)
+            async with asyncio.timeout(GATEWAY_COOLDOWN_SECONDS / 2):
+                return await fetcher.fetch(chunks, lambda: True)
+        finally:
+            server.stop_listening()
+            server.abort_all()
+
+    assert asyncio.run(run()) is True
