Let agents of a data centre read chunks in different orders

All read the chunks in the same order, so that 32 reads came from the same two gateways at a time, whose links have 20 Mbit/s: 61 Mbit/s were wanted and 40 there, which gives the 6.7 s.

Ruled out: the origin (9.9 Mbit/s, 1.7 s for a copy); the pace of the gateways, which follows a schedule and so does not fall behind.

Change: each agent begins elsewhere in the first half of the chunks, by a hash of its name. A spread over all chunks divides the reads a little better but lets some agents begin with chunks that the gateways get last.

--- a/packages/gateway/eelgrassdale_gateway/staging/fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/fetching.py
@@ -1,6 +1,7 @@
 """Fetches manifests and missing chunks from gateways for one agent."""
 
 import asyncio
+import zlib
 from collections import Counter
 from collections.abc import Callable, Sequence
 
@@ -33,6 +34,9 @@
 TIMEOUT_MARGIN_SECONDS = 2.5
 MANIFEST_TIMEOUT_SECONDS = 2.0
 RETRY_DELAY_SECONDS = 0.2
+# Agents begin in the first one of this many equal parts of the chunks: the wider they
+# are spread, the more of them begin with chunks that the gateways do not have yet.
+START_SPREAD = 2
 # After this many copies of one chunk that do not match its digest, the manifest
 # itself may be wrong.
 MAX_CORRUPT_COPIES = 3
@@ -40,11 +44,33 @@
 log = structlog.get_logger(__name__)
 
 
+def chunk_order(reader: str, count: int) -> list[int]:
+    """Return the order in which an agent reads the chunks of a version.
+
+    Each chunk comes from one gateway of the data centre. If all agents read in the
+    same order, all of them read from the same two gateways at a time, whose links
+    are narrower than those of the agents together. So each agent begins elsewhere in
+    the first part of the chunks, which the gateways have first.
+
+    Examples
+    --------
+    >>> sorted(chunk_order("a", 8)) == list(range(8))
+    True
+    >>> chunk_order("a", 0)
+    []
+
+    """
+    offset = zlib.crc32(reader.encode()) % max(1, count // START_SPREAD)
+    return [(offset + position) % count for position in range(count)]
+
+
 class Fetcher:
     """Reads manifests and chunks for one agent.
 
     Parameters
     ----------
+    name : str
+        Name of the agent, which determines the order in which it reads chunks.
     data_centre : str
         Data centre of the agent; its gateways are asked first.
     region : str
@@ -62,6 +88,7 @@
     def __init__(
         self,
         *,
+        name: str,
         data_centre: str,
         region: str,
         clock: Clock,
@@ -69,6 +96,7 @@
         origin: Callable[[], WeightsOrigin | None],
         link_bytes_per_second: float,
     ) -> None:
+        self._name = name
         self._data_centre = data_centre
         self._region = region
         self._clock = clock
@@ -115,13 +143,8 @@
             If the origin no longer has the version.
         """
         self._corrupt_copies.clear()
-        missing = iter(
-            [
-                index
-                for index in range(chunks.manifest.count)
-                if chunks.get(index) is None
-            ]
-        )
+        order = chunk_order(self._name, chunks.manifest.count)
+        missing = iter([index for index in order if chunks.get(index) is None])
         async with asyncio.TaskGroup() as group:
             for _ in range(CONCURRENT_READS):
                 group.create_task(self._fetch_missing(chunks, missing, is_wanted))
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/cluster.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/cluster.py
@@ -204,6 +204,7 @@
             cfg=ReconcilerSettings(engine_name=name, version_grace=self._version_grace),
             engine=self.engines[name],
             fetcher=Fetcher(
+                name=name,
                 data_centre=name[0],
                 region=DATA_CENTRES[name[0]],
                 clock=SystemClock(),
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/test_fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/test_fetching.py
@@ -1,6 +1,7 @@
 """Tests of fetching chunks of weights."""
 
 import asyncio
+from collections import Counter
 
 import pytest
 
@@ -8,8 +9,13 @@
 from eelgrassdale.http1 import HttpServer
 from eelgrassdale_gateway.staging.chunks import ChunkSet, manifest_of
 from eelgrassdale_gateway.staging.engine import SourceUnavailable, VersionGone
-from eelgrassdale_gateway.staging.fetching import GATEWAY_COOLDOWN_SECONDS, Fetcher
-from eelgrassdale_gateway.staging.relay import GatewayEndpoint
+from eelgrassdale_gateway.staging.fetching import (
+    CONCURRENT_READS,
+    GATEWAY_COOLDOWN_SECONDS,
+    Fetcher,
+    chunk_order,
+)
+from eelgrassdale_gateway.staging.relay import GatewayEndpoint, reading_order
 from eelgrassdale_gateway.staging.serving import WeightsServer
 from eelgrassdale_gateway.staging.tests.cluster import FakeOrigin, weights
 
@@ -20,6 +26,7 @@
     It counted as a source that is unavailable for the moment.
     """
     fetcher = Fetcher(
+        name="agent",
         data_centre="a",
         region="n",
         clock=SystemClock(),
@@ -58,6 +65,7 @@
             name="g", data_centre="a", region="n", address=address
         )
         fetcher = Fetcher(
+            name="agent",
             data_centre="a",
             region="n",
             clock=SystemClock(),
@@ -75,3 +83,20 @@
             server.abort_all()
 
     assert asyncio.run(run()) is True
+
+
+def test_agents_of_a_data_centre_read_from_all_of_its_gateways_at_a_time():
+    """Guards against a transfer that is bound by the links of two gateways.
+
+    16 agents with links of 3.8 Mbit/s read from gateways of 20 Mbit/s. In the same
+    order, 16 reads of half a link each came from one gateway, which bears 10 of them.
+    """
+    count, gateways = 64, [f"gateway-{number}" for number in range(10)]
+    orders = [chunk_order(f"side-namen-a-{number}", count) for number in range(1, 17)]
+    for step in range(0, count, CONCURRENT_READS):
+        reads = Counter(
+            reading_order("m/2", count, index, gateways)[0]
+            for order in orders
+            for index in order[step : step + CONCURRENT_READS]
+        )
+        assert max(reads.values()) <= 10
