--- a/packages/gateway/eelgrassdale_gateway/directory.py
+++ b/packages/gateway/eelgrassdale_gateway/directory.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Iterable
 
-from eelgrassdale_gateway.peers import NodeInfo
+from eelgrassdale_gateway.peertable import NodeInfo
 
 MAX_ADDRESSES = 64
 # With fewer live gateways in the caller's data centre, those of its whole region
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -26,7 +26,8 @@
 from eelgrassdale_gateway.model import BackendServer
 from eelgrassdale_gateway.objecthttp import ObjectServer
 from eelgrassdale_gateway.objects import ObjectSource
-from eelgrassdale_gateway.peers import Address, NodeInfo, Peers
+from eelgrassdale_gateway.peers import Peers
+from eelgrassdale_gateway.peertable import Address, NodeInfo
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.serverlist import ServerList
@@ -134,7 +135,7 @@
             revisions=lambda: self._mirror_set.revisions() if self._mirror_set else {},
         )
         for seed in cfg.seed_addresses:
-            self.peers.add_peer(seed)
+            self.peers.table.add(seed)
         self._pool = ConnectionPool(connect_seconds=CONNECT_SECONDS)
         self.telemetry = RequestTelemetry()
         self.telemetry.gauge(
@@ -219,7 +220,7 @@
         self._retry_budgets.slack = cfg.retry_slack
         self.routing_state.version_grace_seconds = cfg.version_grace_seconds
         for seed in cfg.seed_addresses:
-            self.peers.add_peer(seed)
+            self.peers.table.add(seed)
         self.cfg = evolve(
             self.cfg,
             retry_ratio=cfg.retry_ratio,
@@ -269,7 +270,7 @@
 
     def live_gateways(self) -> list[NodeInfo]:
         """Return the live gateways by name, this one included if it is ready."""
-        nodes = [peer.info for peer in self.peers.live_peers()]
+        nodes = [peer.info for peer in self.peers.table.live()]
         if self.is_ready():
             nodes.append(self.peers.me)
         return sorted(nodes, key=lambda node: node.name)
@@ -319,10 +320,10 @@
 
     def _live_gateway_count(self) -> int:
         # Looked up on each call: the dispatcher is built before `self.peers`.
-        return self.peers.live_gateway_count()
+        return 1 + len(self.peers.table.live())
 
     def _gateway_group(self) -> GatewayGroup:
-        return self.peers.gateway_group()
+        return self.peers.table.gateway_group()
 
     def _origin_info(self) -> OriginInfo | None:
         """Return the origin of weights in the configuration, or None."""
@@ -344,7 +345,7 @@
     def _live_gateway_endpoints(self) -> list[GatewayEndpoint]:
         return [
             _gateway_endpoint(peer.info, peer.address)
-            for peer in self.peers.live_peers()
+            for peer in self.peers.table.live()
         ]
 
     def _all_gateway_endpoints(self) -> list[GatewayEndpoint]:
--- a/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
@@ -8,14 +8,13 @@
 from eelgrassdale_gateway.loads import LoadTracker
 from eelgrassdale_gateway.messages import Heartbeat, ServerNotice, decode, encode
 from eelgrassdale_gateway.notices import NoticeRegistry
-from eelgrassdale_gateway.peers import (
+from eelgrassdale_gateway.peers import DIRECT_INTERVAL_HEARTBEATS, Peers
+from eelgrassdale_gateway.peertable import (
     ASSUMED_GATEWAYS,
-    DIRECT_INTERVAL_HEARTBEATS,
     PEER_RETENTION_SECONDS,
     PEER_TIMEOUT_SECONDS,
     REMOTE_PEER_TIMEOUT_SECONDS,
     NodeInfo,
-    Peers,
 )
 
 
@@ -78,22 +77,22 @@
 
 
 def names(node):
-    return sorted(peer.info.name for peer in node.live_peers())
+    return sorted(peer.info.name for peer in node.table.live())
 
 
 def test_nodes_that_know_one_seed_find_each_other():
     wire = FakeNetwork()
     nodes = [wire.add(name) for name in "abcde"]
     for node in nodes[1:]:
-        node.add_peer(("a", 1))
+        node.table.add(("a", 1))
     wire.run(rounds=8)
-    assert [len(node.live_peers()) for node in nodes] == [4] * 5
+    assert [len(node.table.live()) for node in nodes] == [4] * 5
 
 
 def test_silent_node_is_not_live_and_returns_by_itself():
     wire = FakeNetwork()
     a, b = wire.add("a"), wire.add("b")
-    a.add_peer(("b", 1))
+    a.table.add(("b", 1))
     wire.run()
     wire.cut_off.add("b")
     wire.run(rounds=int(PEER_TIMEOUT_SECONDS / 0.2) + 2)
@@ -108,39 +107,39 @@
     wire = FakeNetwork()
     nodes = [wire.add(name) for name in "abcd"]
     for node in nodes[1:]:
-        node.add_peer(("a", 1))
+        node.table.add(("a", 1))
     wire.run(rounds=8)
     wire.cut_off.update("abcd")
     wire.run(rounds=int(PEER_TIMEOUT_SECONDS / 0.2) + 50)
-    assert [node.live_gateway_count() for node in nodes] == [1] * 4
-    assert [node.gateway_group().count for node in nodes] == [4] * 4
+    assert [1 + len(node.table.live()) for node in nodes] == [1] * 4
+    assert [node.table.gateway_group().count for node in nodes] == [4] * 4
 
 
 def test_node_without_peers_does_not_claim_a_whole_limit():
     wire = FakeNetwork()
     node = wire.add("a")
-    assert node.gateway_group().count == ASSUMED_GATEWAYS
+    assert node.table.gateway_group().count == ASSUMED_GATEWAYS
     wire.clock.advance(seconds=PEER_RETENTION_SECONDS)
-    assert node.gateway_group().count == 1
+    assert node.table.gateway_group().count == 1
 
 
 def test_leaving_and_forgotten_nodes_leave_their_shares_to_others():
     wire = FakeNetwork()
     a, b, c = wire.add("a"), wire.add("b"), wire.add("c")
     for node in (b, c):
-        node.add_peer(("a", 1))
+        node.table.add(("a", 1))
     wire.run(rounds=8)
     b.leave()
-    assert a.gateway_group().count == 2
+    assert a.table.gateway_group().count == 2
     del wire.nodes[("c", 1)]
     wire.run(rounds=int(PEER_RETENTION_SECONDS / 0.2) + 2)
-    assert a.gateway_group().count == 1
+    assert a.table.gateway_group().count == 1
 
 
 def test_leaving_node_is_dropped_at_once():
     wire = FakeNetwork()
     a, b = wire.add("a"), wire.add("b")
-    a.add_peer(("b", 1))
+    a.table.add(("b", 1))
     wire.run()
     b.leave()
     assert names(a) == []
@@ -152,7 +151,7 @@
     north = [wire.add(f"n-{number}") for number in range(count)]
     south = [wire.add(f"s-{number}", region="s") for number in range(count)]
     for node in north + south:
-        node.add_peer(("n-0", 1))
+        node.table.add(("n-0", 1))
         for number in range(20):
             node.loads.record_send(f"server-{number}", tokens=100, now=0.0)
     wire.run(rounds=30)
