Begin to fetch weights as soon as an added engine answers

While its engine does not answer, an agent asked again after 0.3 s and another poll interval of 0.5 s.

Ruled out: the list of peers and the digests, which are read in milliseconds.

Change: after a failed call of the engine, only the 0.3 s pass. Calls of the engine on the same VM have no price.

--- a/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
@@ -135,8 +135,13 @@
             changed = self._changed
             try:
                 await step()
-            except (EngineUnavailable, SourceUnavailable) as exc:
-                log.debug("engine or source unavailable; retrying", reason=str(exc))
+            except EngineUnavailable as exc:
+                # Nothing announces that the engine answers again.
+                log.debug("engine unavailable; retrying", reason=str(exc))
+                await asyncio.sleep(RETRY_SECONDS)
+                continue
+            except SourceUnavailable as exc:
+                log.debug("source unavailable; retrying", reason=str(exc))
                 await asyncio.sleep(RETRY_SECONDS)
             try:
                 async with asyncio.timeout(POLL_SECONDS):
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/test_reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/test_reconciler.py
@@ -135,6 +135,28 @@
     assert run_scenario(scenario) == (0, True)
 
 
+def test_engine_that_starts_after_its_agent_is_loaded_without_a_poll(monkeypatch):
+    """Guards against an agent that waits for a poll once its engine answers.
+
+    The agents of added engines began to fetch 1.5 s after their start.
+    """
+    module = "eelgrassdale_gateway.staging.reconciler"
+    monkeypatch.setattr(f"{module}.POLL_SECONDS", 60.0)
+
+    async def scenario(cluster):
+        engine = cluster.engines["b-1"]
+        engine.is_down = True
+        cluster.set_target_version(2)
+        await asyncio.sleep(0.05)
+        engine.is_down = False
+        async with asyncio.timeout(8):
+            while engine.version != 2:
+                await asyncio.sleep(0.01)
+        return all_loads_valid(cluster)
+
+    assert run_scenario(scenario) is True
+
+
 def test_newest_version_is_reached_when_targets_change_quickly():
     async def scenario(cluster):
         cluster.origin.delay = 0.02
