--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -192,15 +192,14 @@
             now=now, peer_count=self._live_gateway_count() - 1
         )
         by_waiter = {queued.waiter: queued for queued in queue}
-        remaining = [
-            queued
-            for waiter in placement_order(by_waiter, now)
-            if not self._dispatch_one(queued := by_waiter[waiter], dispatch_pass)
-        ]
-        # In order of arrival, as requests of equal urgency keep their order.
-        if len(remaining) < len(queue):
-            kept = set(map(id, remaining))
-            queue[:] = [queued for queued in queue if id(queued) in kept]
+        ended: set[_QueuedRequest] = set()
+        for waiter in placement_order(by_waiter, now):
+            queued = by_waiter[waiter]
+            if self._dispatch_one(queued, dispatch_pass):
+                ended.add(queued)
+        if ended:
+            # The rest stays in order of arrival, as the sort is stable.
+            queue[:] = [queued for queued in queue if queued not in ended]
         if queue and self._tick_timer is None:
             loop = asyncio.get_running_loop()
             self._tick_timer = loop.call_later(TICK_SECONDS, self._tick)
