Answer requests that cross a planned stop

Cause: at the end of a planned stop a gateway closed its idle connections at once. A request that had reached the kernel, or the stream's buffer, but not the parser, was cut off without an answer, and so was one read between the last check and the end of the process.

Ruled out: requests that are being handled; the stop waits for them already.

Change: the server pauses reading, lets the tasks handle what they received, and closes only connections without unread bytes. A connection whose request has been answered since is closed after the response. The stop waits for busy connections as long as its time allows.

--- a/packages/core/eelgrassdale/http1/server.py
+++ b/packages/core/eelgrassdale/http1/server.py
@@ -17,7 +17,7 @@
     get_header,
 )
 from eelgrassdale.http1.receiving import Receiver
-from eelgrassdale.http1.sockets import enable_keepalive
+from eelgrassdale.http1.sockets import enable_keepalive, has_unread_bytes
 
 # Unsent bytes of a response before `Exchange.write` waits for a slow reader.
 WRITE_BUFFER_BYTES = 32_768
@@ -29,6 +29,8 @@
 # Time for a caller to read an error before its connection is closed.
 LINGER_SECONDS = 0.5
 BACKLOG = 512
+# Turns of the event loop from the receipt of bytes until the parser has them.
+HANDOVER_TURNS = 3
 DEFAULT_BODY_MEMORY_BYTES = 67_108_864
 # After this time, callers may send a request again whose body did not fit.
 MEMORY_RETRY_SECONDS = 1
@@ -127,6 +129,7 @@
         self.active_requests = 0
         self._connections: set[_Connection] = set()
         self._server: asyncio.Server | None = None
+        self._has_stopped_gracefully = False
 
     async def start(self, host: str, port: int) -> tuple[str, int]:
         """Listen; return the address, with the assigned port for port 0."""
@@ -139,13 +142,42 @@
         """Add `Connection: close` to every further response."""
         self.is_draining = True
 
+    @property
+    def busy_connections(self) -> int:
+        """Number of connections with a request that has begun and not ended."""
+        return sum(not conn.is_idle for conn in self._connections)
+
     def stop_listening(self) -> None:
-        """Stop accepting connections and close the idle ones."""
+        """Stop accepting connections and close the idle ones at once."""
         if self._server is not None:
             self._server.close()
         for conn in list(self._connections):
             conn.close_if_idle()
 
+    async def stop_listening_gracefully(self) -> None:
+        """Stop accepting connections and close those that no request has reached.
+
+        A connection on which a request has arrived, but was not read yet, is served:
+        closing it would cut the request off without a response.
+        """
+        self._has_stopped_gracefully = True
+        if self._server is not None:
+            self._server.close()
+        paused = [conn for conn in self._connections if conn.is_idle]
+        for conn in paused:
+            conn.pause_reading()
+        # The connections' tasks handle the bytes that were received before.
+        for _ in range(HANDOVER_TURNS):
+            await asyncio.sleep(0)
+        for conn in paused:
+            conn.resume_reading()
+        for conn in list(self._connections):
+            conn.close_if_unused()
+
+    def keeps_connections(self) -> bool:
+        """Return whether a connection may be used again after a response."""
+        return not self._has_stopped_gracefully
+
     def abort_all(self) -> None:
         """Close all connections immediately."""
         for conn in list(self._connections):
@@ -185,7 +217,7 @@
         self._receiver = Receiver(reader=reader)
         self._writer = writer
         self._body_memory = server.body_memory.reservation()
-        self._is_idle = True
+        self.is_idle = True
         self._h11 = h11.Connection(
             h11.SERVER, max_incomplete_event_size=server.limits().header_bytes
         )
@@ -206,7 +238,10 @@
             if not exchange.is_finished or self._h11.our_state is not h11.DONE:
                 await self._close_after_response(exchange)
                 return
-            if self._h11.their_state is not h11.DONE:
+            has_next_request = bool(self._h11.trailing_data[0])
+            if self._h11.their_state is not h11.DONE or not (
+                has_next_request or self._server.keeps_connections()
+            ):
                 await self._close_after_response(exchange)
                 return
             self._h11.start_next_cycle()
@@ -216,7 +251,18 @@
         self._writer.transport.abort()
 
     def close_if_idle(self) -> None:
-        if self._is_idle:
+        if self.is_idle:
+            self._writer.close()
+
+    def pause_reading(self) -> None:
+        self._writer.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        self._writer.transport.resume_reading()
+
+    def close_if_unused(self) -> None:
+        """Close an idle connection, unless a request has reached the kernel."""
+        if self.is_idle and not has_unread_bytes(self._writer.get_extra_info("socket")):
             self._writer.close()
 
     async def send_head(self, status: int, headers: Headers) -> None:
@@ -277,8 +323,8 @@
         deadline = loop.time() + limits.idle_seconds
         has_begun = False
         while (event := self._h11.next_event()) is h11.NEED_DATA:
-            self._is_idle = not has_begun and not self._h11.trailing_data[0]
-            if not self._is_idle and not has_begun:
+            self.is_idle = not has_begun and not self._h11.trailing_data[0]
+            if not self.is_idle and not has_begun:
                 has_begun = True
                 deadline = loop.time() + limits.header_seconds
             try:
@@ -288,7 +334,7 @@
                     return None
                 raise _RequestRefused(408, "headers not received in time") from None
             self._h11.receive_data(data)
-        self._is_idle = False
+        self.is_idle = False
         return event if isinstance(event, h11.Request) else None
 
     async def _read_body(self, limits: CallerLimits) -> bytes:
--- a/packages/core/eelgrassdale/http1/sockets.py
+++ b/packages/core/eelgrassdale/http1/sockets.py
@@ -1,5 +1,6 @@
 """Socket options that detect unresponsive peers."""
 
+import select
 import socket
 
 # A connection ends when its peer is silent for about 2 s: one idle second, then
@@ -20,3 +21,10 @@
     )
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
+
+
+def has_unread_bytes(sock: socket.socket) -> bool:
+    """Return whether the kernel holds bytes, or the end of the stream, to be read."""
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN)
+    return bool(poller.poll(0))
--- a/packages/core/eelgrassdale/http1/tests/test_server.py
+++ b/packages/core/eelgrassdale/http1/tests/test_server.py
@@ -196,6 +196,39 @@
     assert caplog.text == ""
 
 
+@pytest.mark.parametrize("arrival", ["in the kernel", "received"])
+def test_request_that_crosses_a_graceful_stop_is_answered(arrival):
+    """Guards against requests that a planned stop cuts off as they arrive."""
+    requests = 20
+
+    async def run():
+        server = HttpServer(handler=echo)
+        address = await server.start("127.0.0.1", 0)
+        conns = [await asyncio.open_connection(*address) for _ in range(requests)]
+        idle = await asyncio.open_connection(*address)
+        for reader, writer in (*conns, idle):
+            writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+            await reader.readuntil(b"hello")
+        server.start_draining()
+        for _, writer in conns:
+            writer.write(b"GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+        if arrival == "received":
+            await asyncio.sleep(0)
+        async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+            await server.stop_listening_gracefully()
+            answers = [await reader.read() for reader, _ in conns]
+            idle_answer = await idle[0].read()
+            for _, writer in (*conns, idle):
+                writer.close()
+            while server.busy_connections:
+                await asyncio.sleep(0.01)
+        return answers, idle_answer
+
+    answers, idle_answer = asyncio.run(run())
+    assert all(answer.startswith(b"HTTP/1.1 200") for answer in answers)
+    assert idle_answer == b""
+
+
 def test_idle_connection_is_closed_after_the_idle_timeout():
     async def client(reader, _writer, _server):
         return await reader.read()
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -305,7 +305,9 @@
             if elapsed_seconds > MIN_DRAIN_SECONDS and not self.server.active_requests:
                 break
             await asyncio.sleep(DRAIN_POLL_SECONDS)
-        self.server.stop_listening()
+        await self.server.stop_listening_gracefully()
+        while self.server.busy_connections and loop.time() < exit_at:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
         log.info("stopped", handling=self.server.active_requests)
 
     async def _handle(self, exchange: Exchange) -> None:
