Compute owners of chunks and the list of live peers less often

Change: the owners of a version's chunks are cached by version and members; the list of live peers is kept for 50 ms, or until a message changes it.

--- a/packages/gateway/eelgrassdale_gateway/peertable.py
+++ b/packages/gateway/eelgrassdale_gateway/peertable.py
@@ -21,6 +21,8 @@
 REPORTED_AS_LIVE_SECONDS = 1.0
 REPORT_LIFETIME_SECONDS = 2.4
 PEER_RETENTION_SECONDS = 30.0
+# The list of live peers is read far more often than silence can change it.
+LIVE_LIST_SECONDS = 0.05
 MAX_PEERS = 1024
 # Number of gateways that a node assumes for a while after its start if it knows
 # no peer: the smaller deployments have 9.
@@ -96,6 +98,9 @@
         self._peers: dict[Address, Peer] = {}
         self._peers_by_key: dict[int, Peer] = {}
         self._started_at = clock.monotonic()
+        # None after a peer became live or not by a message.
+        self._live: list[Peer] | None = None
+        self._live_at = 0.0
         # None after a change of the peers that share limits.
         self._group: GatewayGroup | None = None
         self._assumed_group = self._new_group(
@@ -121,9 +126,12 @@
         return self._peers.values()
 
     def live(self) -> list[Peer]:
-        """Return the peers that are alive and not leaving."""
+        """Return the peers that are alive and not leaving; the list is shared."""
         now = self._clock.monotonic()
-        return [peer for peer in self._peers.values() if self._is_live(peer, now)]
+        if self._live is None or now - self._live_at > LIVE_LIST_SECONDS:
+            self._live_at = now
+            self._live = [p for p in self._peers.values() if self._is_live(p, now)]
+        return self._live
 
     def live_in_data_centre(self) -> list[Peer]:
         """Return the live peers of this gateway's data centre."""
@@ -207,7 +215,7 @@
             if now - last_sign_of_life > PEER_RETENTION_SECONDS:
                 del self._peers[address]
                 self._peers_by_key.pop(member_key(address), None)
-                self._group = None
+                self._group = self._live = None
                 if peer.info is not None:
                     self._on_forget(peer.info.name)
 
@@ -220,6 +228,7 @@
 
     def _log_liveness(self, peer: Peer, *, was_live: bool, now: float) -> None:
         if was_live != self._is_live(peer, now):
+            self._live = None
             log.info(
                 "peer liveness changed",
                 peer=peer.info.name,
--- a/packages/gateway/eelgrassdale_gateway/staging/relay.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/relay.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable, Collection, Sequence
+from functools import lru_cache
 
 import structlog
 from attrs import define, evolve, field, frozen
@@ -74,11 +75,18 @@
     if not names:
         return []
     members = tuple(sorted(names))
-    owner = assign_owners(manifest=key, count=count, members=members)[index]
+    owner = _owners(key, count, members)[index]
     order = candidates(manifest=key, index=index, members=members)
     return [owner, *(name for name in order if name != owner)]
 
 
+# Two versions, in the data centre and in the origin's region, and after the last
+# changes of their gateways.
+@lru_cache(maxsize=32)
+def _owners(key: str, count: int, members: tuple[str, ...]) -> tuple[str, ...]:
+    return assign_owners(manifest=key, count=count, members=members)
+
+
 @define(kw_only=True, eq=False)
 class _CachedVersion:
     chunks: ChunkSet
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/test_fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/test_fetching.py
@@ -6,6 +6,7 @@
 import pytest
 
 from eelgrassdale.clock import SystemClock
+from eelgrassdale.hashing import rendezvous_order
 from eelgrassdale.http1 import HttpServer
 from eelgrassdale_gateway.staging.chunks import ChunkSet, manifest_of
 from eelgrassdale_gateway.staging.engine import SourceUnavailable, VersionGone
@@ -85,6 +86,26 @@
     assert asyncio.run(run()) is True
 
 
+def test_owners_of_chunks_are_computed_once_for_all_chunks(monkeypatch):
+    """Guards against work that grows with the square of the number of chunks.
+
+    Each gateway computed the owners of all chunks anew for each of them, when a
+    version was named.
+    """
+    orders = 0
+
+    def counted(**kwargs):
+        nonlocal orders
+        orders += 1
+        return rendezvous_order(**kwargs)
+
+    monkeypatch.setattr("eelgrassdale.weights.ownership.rendezvous_order", counted)
+    gateways = [f"gateway-{number}" for number in range(10)]
+    for index in range(64):
+        reading_order("counted/1", 64, index, gateways)
+    assert orders <= 2 * 64
+
+
 def test_agents_of_a_data_centre_read_from_all_of_its_gateways_at_a_time():
     """Guards against a transfer that is bound by the links of two gateways.
 
