--- a/packages/core/eelgrassdale/membership/table.py
+++ b/packages/core/eelgrassdale/membership/table.py
@@ -181,11 +181,10 @@
         """
         with self._lock:
             now = self._clock.monotonic()
+            received = _parse_digest(digest, now + HINT_LIFETIME_SECONDS)
             hints = {
                 name: hint
-                for name, hint in _parse_digest(
-                    digest, now + HINT_LIFETIME_SECONDS
-                ).items()
+                for name, hint in received.items()
                 if name in self._vm_list.entries
                 and not _has_recent_contact(self.health(name), now)
             }
