Judge a version again right before its load is ordered

Cause: an agent decided that a version is worth loading, waited for its turn, compared all staged chunks and announced the engine as closed before it ordered the load. If it was paused meanwhile, or a newer version was named, the engine loaded a version that could serve no more.

Ruled out: an order that another one preceded; the engine refuses it by the sequence.

Change: _order_load judges the version once more after all waits; the announcement is taken back if it is obsolete.

--- a/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
@@ -248,7 +248,7 @@
             if not self._serves_long_enough(model, chunks):
                 continue
             if await self._wait_for_turn(model, chunks, has_no_version=not loaded):
-                await self._load(chunks)
+                await self._load(model, chunks)
 
     def _serves_long_enough(self, model: HeldVersions, chunks: ChunkSet) -> bool:
         if chunks.manifest.version == model.newest_target:
@@ -296,20 +296,22 @@
             if staged is None or not manifest.matches(index, staged):
                 await self._engine.stage_chunk(manifest.model, index, chunks.get(index))
 
-    async def _load(self, chunks: ChunkSet) -> None:
+    async def _load(self, model: HeldVersions, chunks: ChunkSet) -> None:
         try:
             async with self._staging_lock:
                 await self._restage_mismatched(chunks)
-                may_have_started = await self._order_load(chunks)
+                may_have_started = await self._order_load(model, chunks)
             if may_have_started:
                 await self._await_loaded(chunks)
         finally:
             await self._announce_state(chunks.manifest.model)
 
-    async def _order_load(self, chunks: ChunkSet) -> bool:
+    async def _order_load(self, model: HeldVersions, chunks: ChunkSet) -> bool:
         """Announce the engine as closed and order the load.
 
-        Return whether the load may have begun.
+        Return whether the load may have begun. The version is judged again right
+        before the order: this process may have been paused since, or waited long for
+        the engine, and a newer version may have become the target.
         """
         manifest = chunks.manifest
         state = await self._engine.read_state()
@@ -318,6 +320,9 @@
             return False
         self._announce(False, manifest.model, loaded)
         await asyncio.sleep(CLOSE_PROPAGATION_SECONDS)
+        if not self._serves_long_enough(model, chunks):
+            log.info("load not ordered: version is obsolete", version=manifest.key)
+            return False
         answer = await self._engine.load(
             manifest.model, manifest.version, state.sequence
         )
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/cluster.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/cluster.py
@@ -77,7 +77,7 @@
             raise VersionGone(str(version))
 
 
-@define(kw_only=True, eq=False)
+@define(kw_only=True, eq=False, slots=False)
 class FakeEngine:
     """An engine that records each loaded version and whether its chunks were valid."""
 
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/test_reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/test_reconciler.py
@@ -1,6 +1,7 @@
 """Tests that engines load complete, valid versions while components fail."""
 
 import asyncio
+import itertools
 
 from attrs import evolve
 
@@ -364,3 +365,29 @@
         version_grace=4.5,
     )
     assert loaded == {3}
+
+
+def test_version_that_becomes_obsolete_before_its_order_is_not_loaded():
+    """Guards against an order on the ground of a state that is no longer true.
+
+    An agent that was paused, or waited long for its engine, ordered the load of a
+    version that could serve no more.
+    """
+
+    async def scenario(cluster):
+        engine = cluster.engines["b-1"]
+        staged_chunks = engine.staged_chunks
+        calls = itertools.count()
+
+        async def staged_chunks_after_a_pause(model):
+            # The first call reads back what was staged; the second precedes the load.
+            if next(calls) == 1:
+                cluster.set_target_version(3)
+            return await staged_chunks(model)
+
+        engine.staged_chunks = staged_chunks_after_a_pause
+        cluster.set_target_version(2)
+        await cluster.wait_for(3)
+        return [version for version, _ in engine.loaded]
+
+    assert run_scenario(scenario, version_grace=1.0) == [3]
