--- a/packages/core/eelgrassdale/http1/server.py
+++ b/packages/core/eelgrassdale/http1/server.py
@@ -239,9 +239,8 @@
                 await self._close_after_response(exchange)
                 return
             has_next_request = bool(self._h11.trailing_data[0])
-            if self._h11.their_state is not h11.DONE or not (
-                has_next_request or self._server.keeps_connections()
-            ):
+            may_go_on = has_next_request or self._server.keeps_connections()
+            if self._h11.their_state is not h11.DONE or not may_go_on:
                 await self._close_after_response(exchange)
                 return
             self._h11.start_next_cycle()
