--- a/packages/core/eelgrassdale/http1/tests/test_server.py
+++ b/packages/core/eelgrassdale/http1/tests/test_server.py
@@ -31,6 +31,20 @@
     await exchange.respond(200, (("x-seen", exchange.request.target),), b"hello")
 
 
+def endless_handler():
+    """Return a handler that waits to be cancelled, and events of its start and end."""
+    started, ended = asyncio.Event(), asyncio.Event()
+
+    async def handler(_exchange):
+        started.set()
+        try:
+            await asyncio.sleep(TEST_TIMEOUT_SECONDS)
+        finally:
+            ended.set()
+
+    return handler, started, ended
+
+
 def test_pipelined_requests_are_answered_in_order():
     async def client(reader, writer, _server):
         writer.write(
@@ -46,14 +60,7 @@
 
 def test_handler_is_cancelled_when_its_caller_disconnects():
     """Otherwise work continues for a caller that closed its connection."""
-    handler_started, handler_ended = asyncio.Event(), asyncio.Event()
-
-    async def handler(_exchange):
-        handler_started.set()
-        try:
-            await asyncio.sleep(TEST_TIMEOUT_SECONDS)
-        finally:
-            handler_ended.set()
+    handler, handler_started, handler_ended = endless_handler()
 
     async def client(_reader, writer, _server):
         writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
@@ -176,14 +183,7 @@
 
 def test_aborting_a_connection_whose_handler_runs_cancels_the_handler(caplog):
     """Guards against an internal error in the task that waits for the handler."""
-    handler_started, handler_ended = asyncio.Event(), asyncio.Event()
-
-    async def handler(_exchange):
-        handler_started.set()
-        try:
-            await asyncio.sleep(TEST_TIMEOUT_SECONDS)
-        finally:
-            handler_ended.set()
+    handler, handler_started, handler_ended = endless_handler()
 
     async def client(_reader, writer, server):
         writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
