Log the shared parts of prompts and how far a failed answer was

Cause: a line of a failed attempt said neither which parts its prompt shares with others nor whether its answer had begun, so logs could not tell a request that ends its engine from those that were cut with it.

Change: 'request placed' and 'attempt failed' carry the ids of the shared parts, the latter also whether the head of the answer had come and how many events this attempt had. The number of parts read is bounded.

Result: tests of packages/gateway pass; no decision reads the new fields.

--- a/packages/gateway/eelgrassdale_gateway/admission.py
+++ b/packages/gateway/eelgrassdale_gateway/admission.py
@@ -13,13 +13,16 @@
 # Subtracted from the deadline so that the response can reach the caller in time.
 RESPONSE_MARGIN_SECONDS = 0.03
 MAX_DEADLINE_SECONDS = 3600.0
+# Further parts of a prompt are ignored, which bounds what one request can add to logs.
+MAX_SHARED_PARTS = 16
 
 
 @frozen(kw_only=True)
 class AdmittedRequest:
     """A request that passed admission; times are in seconds of the monotonic clock.
 
-    `output_tokens` is an estimate, 0 if there is none. `deadline_at` is when the
+    `output_tokens` is an estimate, 0 if there is none. `shared_parts` are the ids of
+    the parts of the prompt that other requests may share. `deadline_at` is when the
     caller gives up. `expires_at` is when the gateway ends the request: shortly
     before `deadline_at`, or at the timeout of the route if that comes first.
     """
@@ -32,6 +35,7 @@
     model: str
     prompt_tokens: int
     output_tokens: int
+    shared_parts: tuple[str, ...] = ()
     arrived_at: float
     deadline_at: float
     expires_at: float
@@ -89,6 +93,7 @@
             output_tokens=_expected_output_tokens(
                 request.header(header_names.output_tokens_hint), output_tokens
             ),
+            shared_parts=_parse_shared_parts(request.header(header_names.prompt_parts)),
             arrived_at=now,
             deadline_at=deadline_at,
             expires_at=min(
@@ -148,3 +153,18 @@
         return int(prompt), int(output or 0)
     except ValueError:
         return 0, 0
+
+
+def _parse_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last, which is its own.
+
+    Examples
+    --------
+    >>> _parse_shared_parts("5c1e07a2:800,91bd3f06:410,e4402b7d:250")
+    ('5c1e07a2', '91bd3f06')
+    >>> _parse_shared_parts("5c1e07a2:800"), _parse_shared_parts("")
+    ((), ())
+
+    """
+    ids = [entry.partition(":")[0].strip() for entry in text.split(",")]
+    return tuple(dict.fromkeys(part for part in ids[:-1] if part))[:MAX_SHARED_PARTS]
--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -85,7 +85,7 @@
             return NotRun(reason=f"connect: {exc}", was_sent=False)
         is_reusable = False
         try:
-            call.send_count += 1
+            call.start_attempt()
             outcome, is_reusable = await self._send_and_receive(
                 call, server, conn, on_response_start, latest_start
             )
@@ -129,6 +129,7 @@
             call.may_have_run = may_have_run_before
             refusal = NotRun(reason=f"refused with status {head.status}", was_sent=True)
             return refusal, await skip_body(conn)
+        call.attempt_has_head = True
         on_response_start()
         if call.admitted.route.is_stream and head.status == 200:
             if not head.header(self._header_names.response_signature):
--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -13,7 +13,8 @@
     `send_count` counts the times it was written to a connection, `run_count`
     the attempts that may have run it. `event_count` and `last_event_id` describe
     the stream events already relayed to the caller. `response_memory` counts the
-    bytes of a response that are held.
+    bytes of a response that are held. `attempt_has_head` and `attempt_event_count`
+    describe the response to the newest attempt.
     """
 
     admitted: AdmittedRequest
@@ -25,8 +26,16 @@
     last_event_id: int | None = None
     event_count: int = 0
     last_event_at: float = 0.0
+    attempt_has_head: bool = False
+    attempt_event_count: int = 0
 
     @property
     def is_idempotent(self) -> bool:
         """Whether the request may run more than once."""
         return self.admitted.route.is_idempotent
+
+    def start_attempt(self) -> None:
+        """Count an attempt and forget the response to the one before."""
+        self.send_count += 1
+        self.attempt_has_head = False
+        self.attempt_event_count = 0
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -128,8 +128,7 @@
         admitted = call.admitted
         now = self._clock.monotonic()
         self._telemetry.record_placement(
-            request_id=admitted.request_id,
-            service=admitted.service,
+            admitted=admitted,
             server=server,
             first_event_seconds=placement.first_event_seconds,
             waited_seconds=now - admitted.arrived_at,
@@ -180,11 +179,9 @@
                 health.record_success(server.id)
                 is_failure = False
         self._telemetry.record_attempt_end(
-            request_id=call.admitted.request_id,
-            service=call.admitted.service,
             server=server,
             outcome=outcome,
-            attempt_number=call.send_count,
+            call=call,
             is_failure=is_failure,
         )
 
--- a/packages/gateway/eelgrassdale_gateway/headernames.py
+++ b/packages/gateway/eelgrassdale_gateway/headernames.py
@@ -38,6 +38,9 @@
     token_counts: str
     """Number of prompt tokens and maximum number of output tokens, comma-separated."""
 
+    prompt_parts: str
+    """Parts of the prompt in order, as comma-separated entries ID:TOKENS."""
+
     output_tokens_hint: str
     """A caller's estimate of the number of output tokens, often inaccurate."""
 
--- a/packages/gateway/eelgrassdale_gateway/responses.py
+++ b/packages/gateway/eelgrassdale_gateway/responses.py
@@ -125,6 +125,7 @@
     event_count = sum(not is_comment(event) for event in new_events)
     if event_count:
         call.event_count += event_count
+        call.attempt_event_count += event_count
         call.last_event_at = now
     await _start_response(call, head)
     await call.exchange.write(b"".join(new_events))
--- a/packages/gateway/eelgrassdale_gateway/telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/telemetry.py
@@ -9,6 +9,8 @@
 from prometheus_client.exposition import generate_latest
 
 from eelgrassdale.results import ResultCode
+from eelgrassdale_gateway.admission import AdmittedRequest
+from eelgrassdale_gateway.calls import Call
 from eelgrassdale_gateway.model import BackendServer
 from eelgrassdale_gateway.outcomes import Answered, Outcome
 
@@ -63,8 +65,7 @@
     def record_placement(
         self,
         *,
-        request_id: str,
-        service: str,
+        admitted: AdmittedRequest,
         server: BackendServer,
         first_event_seconds: float,
         waited_seconds: float,
@@ -72,16 +73,17 @@
         table_version: int,
     ) -> None:
         """Log the placement of a request and observe its waiting time."""
-        self._waiting_histogram.labels(service).observe(waited_seconds)
+        self._waiting_histogram.labels(admitted.service).observe(waited_seconds)
         log.info(
             "request placed",
-            request=request_id,
+            request=admitted.request_id,
             server=server.id,
-            service=service,
+            service=admitted.service,
             expected=round(first_event_seconds, 3),
             waited=round(waited_seconds, 3),
             late=is_late,
             configuration=table_version,
+            parts=",".join(admitted.shared_parts),
         )
 
     def record_response_start(self, *, service: str, seconds: float) -> None:
@@ -91,16 +93,14 @@
     def record_attempt_end(
         self,
         *,
-        request_id: str,
-        service: str,
         server: BackendServer,
         outcome: Outcome,
-        attempt_number: int,
+        call: Call,
         is_failure: bool,
     ) -> None:
         """Count an attempt by outcome, and log it if it failed."""
         name = type(outcome).__name__
-        self._attempt_counter.labels(name, service).inc()
+        self._attempt_counter.labels(name, call.admitted.service).inc()
         if not is_failure:
             return
         reason = getattr(outcome, "reason", "")
@@ -108,12 +108,15 @@
             reason = f"status {outcome.head.status}"
         log.info(
             "attempt failed",
-            request=request_id,
+            request=call.admitted.request_id,
             server=server.id,
             born=server.started_at_ms,
             outcome=name,
             reason=reason,
-            attempt=attempt_number,
+            attempt=call.send_count,
+            has_head=call.attempt_has_head,
+            attempt_events=call.attempt_event_count,
+            parts=",".join(call.admitted.shared_parts),
         )
 
     def record_retry_refusal(self, *, request_id: str, reason: str) -> None:
--- a/packages/gateway/eelgrassdale_gateway/tests/harness.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/harness.py
@@ -36,6 +36,7 @@
     expected_server="t-server",
     model="t-model",
     token_counts="t-tokens",
+    prompt_parts="t-parts",
     output_tokens_hint="t-length",
     last_event_id="t-last-event",
 )
