Quarantine prompts whose requests end backend servers

Cause: no memory across requests. A gateway sent such a request to a second engine after the first had ended under it, and placed the next one with the same part as if nothing had happened. A "query of death".

Ruled out: overload and restarts as the cause. Requests that were running had events, those that waited had no head, and ends did not follow the load or the start of an engine.

Change: a crash as an answer begins counts against the shared parts of its prompt. Gateways tell each other of such crashes. Three engines without a sound start in between, and requests with the part are refused at once, also waiting ones. Parts that cannot be told apart are refused only together; a sound start anywhere lifts or narrows a quarantine; one gateway lets a trial through after 60 s, then after twice the time. A request under which an engine ended is not sent to another while one of its parts is suspect.

Why it works: the state is one on all gateways within a datagram's time, so a part ends three engines and those that were already sent, not one for each request.

--- a/packages/core/eelgrassdale/http1/client.py
+++ b/packages/core/eelgrassdale/http1/client.py
@@ -35,7 +35,8 @@
 
     `idle_since` is the time at which it last became reusable, in seconds of
     `boottime_seconds`. `keep_alive_seconds` is the idle time-out that the server
-    announced, or None.
+    announced, or None. `is_disconnected` is true once the server ended the connection
+    during a response.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         self.idle_since = boottime_seconds()
         self.keep_alive_seconds: float | None = None
         self.request_count = 0
+        self.is_disconnected = False
         self._receiver = Receiver(reader=reader)
         self._writer = writer
         self._h11 = h11.Connection(
@@ -195,11 +197,14 @@
 
     async def _receive(self) -> bytes:
         try:
-            return await self._receiver.receive(timeout=None)
+            data = await self._receiver.receive(timeout=None)
         except OSError as exc:
+            self.is_disconnected = True
             raise ExchangeFailed(
                 f"reading the response of {self.address}: {exc!r}"
             ) from exc
+        self.is_disconnected = not data
+        return data
 
     def _record_keep_alive(self, head: ResponseHead) -> None:
         for part in head.header("keep-alive").split(","):
--- a/packages/core/eelgrassdale/results/codes.py
+++ b/packages/core/eelgrassdale/results/codes.py
@@ -52,6 +52,7 @@
     KEY_MISMATCH = 117
     UNKNOWN_ROUTE = 118
     UNKNOWN_API_KEY = 119
+    PROMPT_QUARANTINED = 120
     OUTCOME_UNKNOWN = 201
     KEY_EXPIRED = 202
     INCARNATION_GONE = 203
@@ -171,6 +172,12 @@
     _C.UNKNOWN_API_KEY: _not_run(
         401, RetryRule.NO, "no client account holds this API key"
     ),
+    _C.PROMPT_QUARANTINED: _not_run(
+        503,
+        RetryRule.ANY_NODE,
+        "backend servers ended one after the other under prompts that share a part "
+        "with this one",
+    ),
     _C.OUTCOME_UNKNOWN: _may_have_run(
         502, RetryRule.IF_IDEMPOTENT, "the agent's answer was lost"
     ),
--- a/packages/gateway/eelgrassdale_gateway/admission.py
+++ b/packages/gateway/eelgrassdale_gateway/admission.py
@@ -15,6 +15,7 @@
 MAX_DEADLINE_SECONDS = 3600.0
 # Further parts of a prompt are ignored, which bounds what one request can add to logs.
 MAX_SHARED_PARTS = 16
+MAX_PART_LENGTH = 64
 
 
 @frozen(kw_only=True)
@@ -47,6 +48,11 @@
             return self.account.priority
         return self.route.priority
 
+    @property
+    def quarantine_parts(self) -> frozenset[str]:
+        """Shared parts of the prompt, each together with the model that reads it."""
+        return frozenset(f"{self.model}/{part}" for part in self.shared_parts)
+
     @property
     def regions(self) -> frozenset[str] | None:
         """Regions that may run the request: empty allows all, None allows none."""
@@ -167,4 +173,5 @@
 
     """
     ids = [entry.partition(":")[0].strip() for entry in text.split(",")]
-    return tuple(dict.fromkeys(part for part in ids[:-1] if part))[:MAX_SHARED_PARTS]
+    shared = dict.fromkeys(part[:MAX_PART_LENGTH] for part in ids[:-1] if part)
+    return tuple(shared)[:MAX_SHARED_PARTS]
--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
+from attrs import evolve, frozen
+
 from eelgrassdale.clock import Clock
 from eelgrassdale.http1 import (
     ByteBudget,
@@ -40,6 +42,18 @@
 MISDIRECTED_REQUEST_STATUS = 421
 
 
+@frozen(kw_only=True)
+class AttemptObserver:
+    """Functions that an attempt calls as its response proceeds.
+
+    `on_head` is called for the head of a response that is not a refusal,
+    `on_first_event` for the first event of a stream that is new to the caller.
+    """
+
+    on_head: Callable[[], None]
+    on_first_event: Callable[[], None]
+
+
 class AttemptRunner:
     """Runs attempts over pooled connections."""
 
@@ -62,16 +76,15 @@
         self,
         call: Call,
         server: BackendServer,
-        on_response_start: Callable[[], None],
+        observer: AttemptObserver,
         *,
         latest_start: float = float("inf"),
     ) -> Outcome:
         """Send the request to a backend server.
 
-        `on_response_start` is called when the head of a response that is not a
-        refusal has arrived. If that has not happened by the monotonic time
-        `latest_start`, the attempt is withdrawn. Cancelling or withdrawing an attempt
-        closes its connection, which ends the work at the backend server.
+        If the head of a response has not arrived by the monotonic time `latest_start`,
+        the attempt is withdrawn. Cancelling or withdrawing an attempt closes its
+        connection, which ends the work at the backend server.
         """
         call.response_memory.release()
         # A late second copy of an earlier response to the same request would pass for
@@ -87,7 +100,7 @@
         try:
             call.start_attempt()
             outcome, is_reusable = await self._send_and_receive(
-                call, server, conn, on_response_start, latest_start
+                call, server, conn, observer, latest_start
             )
         except ExchangeFailed as exc:
             outcome = Lost(reason=str(exc))
@@ -100,6 +113,8 @@
                 self._pool.release(conn)
             else:
                 conn.close()
+        if isinstance(outcome, Lost):
+            outcome = evolve(outcome, is_disconnected=conn.is_disconnected)
         return outcome
 
     async def _send_and_receive(
@@ -107,7 +122,7 @@
         call: Call,
         server: BackendServer,
         conn: ClientConnection,
-        on_response_start: Callable[[], None],
+        observer: AttemptObserver,
         latest_start: float,
     ) -> tuple[Outcome, bool]:
         """Return the outcome and whether the connection can be reused."""
@@ -130,12 +145,17 @@
             refusal = NotRun(reason=f"refused with status {head.status}", was_sent=True)
             return refusal, await skip_body(conn)
         call.attempt_has_head = True
-        on_response_start()
+        observer.on_head()
         if call.admitted.route.is_stream and head.status == 200:
             if not head.header(self._header_names.response_signature):
                 return Lost(reason="success without a signature"), False
             return await relay_stream(
-                call, conn, head, timer=self._progress_timer(call), clock=self._clock
+                call,
+                conn,
+                head,
+                timer=self._progress_timer(call),
+                clock=self._clock,
+                on_first_event=observer.on_first_event,
             )
         body = await read_body(call, conn, timer=self._progress_timer(call))
         if head.status < 300 and not head.header(self._header_names.response_signature):
--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -1,4 +1,4 @@
-"""Assigns waiting requests to backend servers; owns the queues, loads and health."""
+"""Assigns waiting requests to backend servers; owns queues, loads and health."""
 
 import asyncio
 from collections import defaultdict, deque
@@ -24,6 +24,7 @@
     place,
     streaming_seconds,
 )
+from eelgrassdale_gateway.quarantine import PromptQuarantine
 from eelgrassdale_gateway.queueing import Waiter, is_late, placement_order, refusal_code
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.shares import GatewayGroup, share_of_count, share_of_rate
@@ -92,6 +93,7 @@
         self.loads = LoadTracker()
         self.health = HealthTracker()
         self.notices = NoticeRegistry()
+        self.quarantine = PromptQuarantine(clock=clock, gateway_group=gateway_group)
         self._clock = clock
         self._routing_state = routing_state
         self._data_centre = data_centre
@@ -216,8 +218,12 @@
         if queued.fut.done():
             # Cancelled, but the task that waits in `place` has not run since.
             return True
+        if self.quarantine.is_refused(waiter.prompt_parts):
+            queued.fut.set_exception(PlacementRefused(ResultCode.PROMPT_QUARANTINED))
+            return True
         placement = self._find_placement(waiter, dispatch_pass)
         if placement is not None:
+            self.quarantine.record_send(waiter.prompt_parts)
             in_flight = self._record_placement(placement, waiter, dispatch_pass)
             queued.fut.set_result((placement, in_flight))
             return True
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -8,7 +8,7 @@
 from eelgrassdale.http1 import Exchange
 from eelgrassdale.results import ResultCode, ResultError, info_of
 from eelgrassdale_gateway.admission import admit
-from eelgrassdale_gateway.attempts import AttemptRunner
+from eelgrassdale_gateway.attempts import AttemptObserver, AttemptRunner
 from eelgrassdale_gateway.calls import Call
 from eelgrassdale_gateway.dispatcher import Dispatcher, PlacementRefused
 from eelgrassdale_gateway.headernames import HeaderNames
@@ -53,6 +53,7 @@
         self._clock = clock
         self._routing_state = routing_state
         self._dispatcher = dispatcher
+        self._quarantine = dispatcher.quarantine
         self._attempt_runner = attempt_runner
         self._retry_budgets = retry_budgets
         self._header_names = header_names
@@ -139,13 +140,20 @@
             outcome = await self._attempt_runner.run(
                 call,
                 server,
-                lambda: self._on_response_start(call, in_flight),
+                AttemptObserver(
+                    on_head=lambda: self._on_response_start(call, in_flight),
+                    on_first_event=lambda: self._quarantine.record_start(
+                        admitted.quarantine_parts
+                    ),
+                ),
                 latest_start=self._dispatcher.latest_start(server, admitted.model),
             )
         finally:
             self._dispatcher.record_end(in_flight)
         if not isinstance(outcome, NotRun):
             call.run_count += 1
+        if _has_ended_its_server(call, outcome):
+            self._record_crash(call, server)
         self._record_outcome(call, server, outcome)
         return outcome, server
 
@@ -156,6 +164,12 @@
             seconds=self._clock.monotonic() - call.admitted.arrived_at,
         )
 
+    def _record_crash(self, call: Call, server: BackendServer) -> None:
+        server_id, started_at_ms = server.incarnation
+        parts = call.admitted.quarantine_parts
+        if parts:
+            self._quarantine.record_crash(f"{server_id}/{started_at_ms}", parts)
+
     def _record_outcome(
         self, call: Call, server: BackendServer, outcome: Outcome
     ) -> None:
@@ -192,6 +206,10 @@
         if isinstance(outcome, NotRun) and not outcome.was_sent:
             return True
         reason = _retry_refusal_reason(call, outcome)
+        if _has_ended_its_server(call, outcome) and self._quarantine.is_suspect(
+            call.admitted.quarantine_parts
+        ):
+            reason = "may have ended its backend server"
         if not reason and not self._retry_budgets.take(call.admitted.service):
             reason = "retry budget of the service exhausted"
         if reason:
@@ -256,11 +274,14 @@
         if request_id:
             headers.append((self._header_names.request_id, request_id))
         if status in (429, 503):
-            headers.append(("retry-after", f"{self._retry_after_seconds(call):.3f}"))
+            seconds = self._retry_after_seconds(call, code)
+            headers.append(("retry-after", f"{seconds:.3f}"))
         body = json.dumps(ResultError(code=code).as_json()).encode()
         await exchange.respond(status, tuple(headers), body)
 
-    def _retry_after_seconds(self, call: Call | None) -> float:
+    def _retry_after_seconds(self, call: Call | None, code: ResultCode) -> float:
+        if call is not None and code is ResultCode.PROMPT_QUARANTINED:
+            return self._quarantine.seconds_until_trial(call.admitted.quarantine_parts)
         now = self._clock.monotonic()
         expires_at = call.admitted.expires_at if call else now
         return retry_after_seconds(now=now, expires_at=expires_at)
@@ -305,6 +326,7 @@
         output_tokens=max(0, admitted.output_tokens - generated_tokens),
         priority=admitted.priority,
         regions=regions or frozenset(),
+        prompt_parts=admitted.quarantine_parts,
         excluded=excluded,
         arrived_at=waiting_since,
         objective_at=objective_at,
@@ -325,6 +347,20 @@
     return ""
 
 
+def _has_ended_its_server(call: Call, outcome: Outcome) -> bool:
+    """Return whether the server's connection ended as it began to answer.
+
+    A server that ends under a request does so before the first event. Requests that
+    are merely running there had events before, or no head yet.
+    """
+    return (
+        isinstance(outcome, Lost)
+        and outcome.is_disconnected
+        and call.attempt_has_head
+        and not call.attempt_event_count
+    )
+
+
 def _result_code(outcome: Outcome) -> ResultCode:
     if isinstance(outcome, NotRun):
         return ResultCode.SERVER_BUSY
--- a/packages/gateway/eelgrassdale_gateway/messages.py
+++ b/packages/gateway/eelgrassdale_gateway/messages.py
@@ -12,6 +12,7 @@
     module_name="eelgrassdale_peers_thrift",
 )
 
+CrashNotice = _module.CrashNotice
 Datagram = _module.Datagram
 GatewayEntry = _module.GatewayEntry
 GatewayList = _module.GatewayList
@@ -20,15 +21,18 @@
 ObjectPage = _module.ObjectPage
 ObjectRecord = _module.ObjectRecord
 PeerAddress = _module.PeerAddress
+PromptNotice = _module.PromptNotice
+QuarantineNotice = _module.QuarantineNotice
 ServerLoad = _module.ServerLoad
 ServerNotice = _module.ServerNotice
+SoundNotice = _module.SoundNotice
 
 # The compiled codec; the default one takes ten times as long.
 _protocols = TCyBinaryProtocolFactory()
 
 
 def encode(message: Any) -> bytes:
-    """Return a `Heartbeat` or `ServerNotice` as a datagram.
+    """Return a `Heartbeat`, `ServerNotice` or `PromptNotice` as a datagram.
 
     Examples
     --------
@@ -38,6 +42,8 @@
     """
     if isinstance(message, Heartbeat):
         datagram = Datagram(heartbeat=message)
+    elif isinstance(message, PromptNotice):
+        datagram = Datagram(prompt_notice=message)
     else:
         datagram = Datagram(notice=message)
     return encode_struct(datagram)
@@ -83,5 +89,7 @@
     if heartbeat is not None:
         is_complete = heartbeat.name and heartbeat.loads is not None
         return heartbeat if is_complete and heartbeat.known is not None else None
+    if datagram.prompt_notice is not None:
+        return datagram.prompt_notice
     notice = datagram.notice
     return notice if notice is not None and notice.host else None
--- a/packages/gateway/eelgrassdale_gateway/outcomes.py
+++ b/packages/gateway/eelgrassdale_gateway/outcomes.py
@@ -15,9 +15,13 @@
 
 @frozen(kw_only=True)
 class Lost:
-    """No valid response arrived; the request may have run."""
+    """No valid response arrived; the request may have run.
+
+    `is_disconnected` is true if the connection to the backend server ended.
+    """
 
     reason: str
+    is_disconnected: bool = False
 
 
 @frozen(kw_only=True)
--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -19,6 +19,7 @@
     Heartbeat,
     KindRevision,
     PeerAddress,
+    PromptNotice,
     ServerLoad,
     ServerNotice,
     decode,
@@ -64,10 +65,14 @@
         notices: NoticeRegistry,
         on_notice: Callable[[], None],
         revisions: Callable[[], Mapping[str, int]] = dict,
+        on_prompt_notice: Callable[[PromptNotice], None] = lambda _notice: None,
+        on_new_process: Callable[[Address], None] = lambda _address: None,
         seed: int | None = None,
     ) -> None:
         self.me = me
         self._revisions = revisions
+        self._on_prompt_notice = on_prompt_notice
+        self._on_new_process = on_new_process
         self.is_leaving = False
         self._clock = clock
         self._address = address
@@ -103,6 +108,15 @@
         self.is_leaving = True
         self.send_heartbeats()
 
+    def addresses(self) -> list[Address]:
+        """Return the addresses of all known gateways but this one."""
+        return [peer.address for peer in self.table.all()]
+
+    def send(self, data: bytes, address: Address) -> None:
+        """Send a datagram to a gateway."""
+        if self._transport is not None:
+            self._transport.sendto(data, address)
+
     def newest_revisions(self) -> dict[str, int]:
         """Return the newest revision of each kind that live peers know."""
         newest: dict[str, int] = {}
@@ -176,13 +190,20 @@
         elif isinstance(message, ServerNotice):
             if self._notices.record(message, now=self._clock.monotonic()):
                 self._on_notice()
+        elif isinstance(message, PromptNotice):
+            self._on_prompt_notice(message)
         else:
             self._handle_heartbeat(message, addr)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, addr: Address) -> None:
         self.table.add(addr)
         peer = self.table.get(addr)
-        if peer is not None and self._record_heartbeat(peer, heartbeat):
+        if peer is None:
+            return
+        is_new_process = peer.incarnation != heartbeat.incarnation
+        if self._record_heartbeat(peer, heartbeat):
+            if is_new_process:
+                self._on_new_process(addr)
             self._record_loads(heartbeat)
             self.table.record_report(
                 heartbeat.live_members or (), data_centre=heartbeat.data_centre
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -47,10 +47,41 @@
     7: i32 version
 }
 
+// A backend server, named by its incarnation, that ended as an answer to a prompt with
+// these parts began.
+struct CrashNotice {
+    1: string server
+    2: list<string> parts
+    3: i32 age_ms
+}
+
+// An answer to a prompt with this part got beyond its beginning.
+struct SoundNotice {
+    1: string part
+    2: i32 age_ms
+}
+
+// Prompts with all of these parts are refused, or no longer if not `is_active`.
+struct QuarantineNotice {
+    1: list<string> parts
+    2: i32 sequence
+    3: bool is_active
+    4: i32 trial_count
+    5: i32 evidence_age_ms
+    6: i32 trial_in_ms
+}
+
+struct PromptNotice {
+    1: list<CrashNotice> crashes
+    2: list<SoundNotice> sound_starts
+    3: list<QuarantineNotice> quarantines
+}
+
 // Exactly one field is set.
 struct Datagram {
     1: optional Heartbeat heartbeat
     2: optional ServerNotice notice
+    3: optional PromptNotice prompt_notice
 }
 
 // `spec` and `status` are JSON, as in the platform's store.
--- a/packages/gateway/eelgrassdale_gateway/peertable.py
+++ b/packages/gateway/eelgrassdale_gateway/peertable.py
@@ -61,6 +61,11 @@
     is_leaving: bool = False
     revisions: Mapping[str, int] = field(factory=dict)
 
+    @property
+    def incarnation(self) -> int:
+        """Incarnation of the peer's process, -1 while it is unknown."""
+        return self.info.incarnation if self.info else -1
+
     def silence_seconds(self, now: float) -> float:
         """Return the time without a heartbeat, or 0 while a report lists the peer."""
         if now - self.reported_at <= REPORT_LIFETIME_SECONDS:
@@ -172,8 +177,7 @@
     ) -> bool:
         """Apply a heartbeat; return False if a later one arrived before."""
         now = self._clock.monotonic()
-        known_incarnation = peer.info.incarnation if peer.info else -1
-        if (info.incarnation, sequence) <= (known_incarnation, peer.sequence):
+        if (info.incarnation, sequence) <= (peer.incarnation, peer.sequence):
             return False
         was_live = self._is_live(peer, now)
         peer.info = info
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -28,6 +28,7 @@
 from eelgrassdale_gateway.objects import ObjectSource
 from eelgrassdale_gateway.peers import Peers
 from eelgrassdale_gateway.peertable import Address, NodeInfo
+from eelgrassdale_gateway.quarantine import QuarantineExchange
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.serverlist import ServerList
@@ -133,6 +134,16 @@
             notices=self.dispatcher.notices,
             on_notice=self.dispatcher.dispatch_waiting,
             revisions=lambda: self._mirror_set.revisions() if self._mirror_set else {},
+            on_prompt_notice=lambda notice: self._quarantine_exchange.handle(notice),
+            on_new_process=lambda address: self._quarantine_exchange.send_states(
+                address
+            ),
+        )
+        self._quarantine_exchange = QuarantineExchange(
+            clock=self._clock,
+            quarantine=self.dispatcher.quarantine,
+            peers=self.peers.addresses,
+            send=self.peers.send,
         )
         for seed in cfg.seed_addresses:
             self.peers.table.add(seed)
@@ -148,6 +159,11 @@
             "Live gateways, this one included.",
             self._live_gateway_count,
         )
+        self.telemetry.gauge(
+            "quarantined_prompts",
+            "Combinations of prompt parts whose requests are refused.",
+            lambda: len(self.dispatcher.quarantine.active()),
+        )
         self._retry_budgets = RetryBudgets(
             ratio=cfg.retry_ratio,
             slack=cfg.retry_slack,
@@ -286,6 +302,7 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._log_pauses())
             group.create_task(self.peers.run())
+            group.create_task(self._quarantine_exchange.run())
             group.create_task(self._clean_up_pool())
             if self._mirror_set is not None:
                 group.create_task(self._mirror_set.run())
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/__init__.py
@@ -0,0 +1,21 @@
+"""Quarantine of prompts whose requests end the backend servers that run them.
+
+`evidence` decides which parts of prompts are at fault, `state` holds what one gateway
+knows and refuses, `exchange` shares it with the other gateways.
+"""
+
+from eelgrassdale_gateway.quarantine.evidence import CrashReport
+from eelgrassdale_gateway.quarantine.exchange import QuarantineExchange
+from eelgrassdale_gateway.quarantine.state import (
+    PromptQuarantine,
+    Quarantine,
+    SoundStart,
+)
+
+__all__ = [
+    "CrashReport",
+    "PromptQuarantine",
+    "Quarantine",
+    "QuarantineExchange",
+    "SoundStart",
+]
--- a/packages/gateway/eelgrassdale_gateway/queueing.py
+++ b/packages/gateway/eelgrassdale_gateway/queueing.py
@@ -31,11 +31,12 @@
     """One waiting request; times are in seconds of the monotonic clock.
 
     `tokens` are the prompt tokens that an engine must read, `output_tokens` an
-    estimate of those that it generates. `excluded` are the ids of backend servers at
-    which an earlier attempt failed. `objective_at` is when its first event is due,
-    `expires_at` when the gateway ends the request. `min_first_event_seconds` and
-    `streaming_seconds` are the times to its first event and from there to its last at
-    an idle engine. `last_candidate_at` is when a backend server that may run it was
+    estimate of those that it generates. `prompt_parts` are the shared parts of its
+    prompt, as `AdmittedRequest.quarantine_parts`. `excluded` are the ids of backend
+    servers at which an earlier attempt failed. `objective_at` is when its first event
+    is due, `expires_at` when the gateway ends the request. `min_first_event_seconds`
+    and `streaming_seconds` are the times to its first event and from there to its last
+    at an idle engine. `last_candidate_at` is when a backend server that may run it was
     last listed.
     """
 
@@ -45,6 +46,7 @@
     output_tokens: int = 0
     priority: int = 0
     regions: frozenset[str] = frozenset()
+    prompt_parts: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
     arrived_at: float
     objective_at: float
--- a/packages/gateway/eelgrassdale_gateway/responses.py
+++ b/packages/gateway/eelgrassdale_gateway/responses.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.http1 import ClientConnection, ExchangeFailed, ResponseHead
@@ -80,6 +81,7 @@
     *,
     timer: ProgressTimer,
     clock: Clock,
+    on_first_event: Callable[[], None],
 ) -> tuple[Outcome, bool]:
     """Relay each event to the caller once it has arrived completely.
 
@@ -93,11 +95,13 @@
         except EventTooLong as exc:
             return Lost(reason=str(exc)), False
         call.response_memory.resize(splitter.buffered_bytes)
-        event_count = call.event_count
+        event_count = call.attempt_event_count
         if not await _relay_events(call, head, events, now=clock.monotonic()):
             return Lost(reason="gap in the event ids"), False
-        if call.event_count > event_count:
+        if call.attempt_event_count > event_count:
             timer.record_progress()
+            if event_count == 0:
+                on_first_event()
     if splitter.has_partial_event():
         return Lost(reason="stream ended within an event"), False
     await _start_response(call, head)
