Keep quarantines of prompts in the platform's store

Cause: quarantines lived in the gateways only. When all are killed at once, they forget them, and each deadly part ends three more engines. Ruled out: keeping them at the agents, which also restart at a loss of power.

Change: a quarantine is one object of a kind of its own, written when it begins, has a trial or is lifted, and read once by each gateway that starts. While the store is away, writes are tried again.

--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -28,7 +28,8 @@
 from eelgrassdale_gateway.objects import ObjectSource
 from eelgrassdale_gateway.peers import Peers
 from eelgrassdale_gateway.peertable import Address, NodeInfo
-from eelgrassdale_gateway.quarantine import QuarantineExchange
+from eelgrassdale_gateway.quarantine import QuarantineArchive, QuarantineExchange
+from eelgrassdale_gateway.quarantine.archive import ObjectStore
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.serverlist import ServerList
@@ -194,6 +195,7 @@
             origin=self._origin_info,
         )
         self._mirror_set: MirrorSet | None = None
+        self._archive: QuarantineArchive | None = None
         self._weights = WeightsServer(read=self.relay.read)
         self._objects = ObjectServer(
             change_logs=lambda: (
@@ -226,6 +228,15 @@
             peer_revisions=self.peers.newest_revisions,
         )
 
+    def keep_quarantines(self, store: ObjectStore, *, kind: str) -> None:
+        """Keep the quarantines of prompts in the platform's store."""
+        self._archive = QuarantineArchive(
+            store=store,
+            kind=kind,
+            quarantine=self.dispatcher.quarantine,
+            clock=self._clock,
+        )
+
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Apply the settings that may change while the process runs.
 
@@ -304,6 +315,8 @@
             group.create_task(self.peers.run())
             group.create_task(self._quarantine_exchange.run())
             group.create_task(self._clean_up_pool())
+            if self._archive is not None:
+                group.create_task(self._archive.run())
             if self._mirror_set is not None:
                 group.create_task(self._mirror_set.run())
 
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/archive.py
@@ -0,0 +1,171 @@
+"""Keeps quarantines in the platform's store, for when all gateways restart at once.
+
+The store is read once at the start and written when a quarantine begins, has a trial or
+is lifted. In between, gateways tell each other (`exchange`).
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import structlog
+
+from eelgrassdale.clock import Clock
+from eelgrassdale.hashing import digest_of
+from eelgrassdale_gateway.objects import Listing, StoredObject, StoreUnavailable
+from eelgrassdale_gateway.quarantine.evidence import CrashReport
+from eelgrassdale_gateway.quarantine.state import (
+    FIRST_TRIAL_SECONDS,
+    Finding,
+    PromptQuarantine,
+    Quarantine,
+    SoundStart,
+)
+
+RETRY_SECONDS = 0.5
+# An older entry is deleted: engines and models have changed since.
+MAX_AGE_SECONDS = 86_400
+# States that wait for the store; of each combination of parts only the newest one.
+MAX_UNWRITTEN = 64
+
+log = structlog.get_logger(__name__)
+
+
+class ObjectStore(Protocol):
+    """The calls of the platform's store that the archive needs."""
+
+    async def list(self, kind: str) -> Listing:
+        """Return all objects of a kind; raises `StoreUnavailable`."""
+        ...
+
+    async def put(self, kind: str, name: str, spec: Mapping[str, Any]) -> None:
+        """Create or replace an object; raises `StoreUnavailable`."""
+        ...
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Delete an object if it exists; raises `StoreUnavailable`."""
+        ...
+
+
+class QuarantineArchive:
+    """Reads the stored quarantines at the start and writes those found here.
+
+    Parameters
+    ----------
+    store : ObjectStore
+        The platform's store.
+    kind : str
+        Kind of the objects.
+    quarantine : PromptQuarantine
+        What this gateway knows.
+    unix_seconds : callable
+        Returns the time of day. The age of entries is compared with a day, so clocks
+        that differ by seconds do not matter.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: ObjectStore,
+        kind: str,
+        quarantine: PromptQuarantine,
+        clock: Clock,
+        unix_seconds: Callable[[], float] = time.time,
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self._quarantine = quarantine
+        self._clock = clock
+        self._unix_seconds = unix_seconds
+        self._unwritten: dict[frozenset[str], Quarantine] = {}
+        self._has_unwritten = asyncio.Event()
+        quarantine.subscribe(self._record)
+
+    async def run(self) -> None:
+        """Read the stored quarantines, then write new states until cancelled."""
+        await self._retry(self._load)
+        while True:
+            await self._has_unwritten.wait()
+            self._has_unwritten.clear()
+            while self._unwritten:
+                await self._retry(self._write_next)
+
+    def _record(self, finding: Finding) -> None:
+        match finding:
+            case Quarantine():
+                if len(self._unwritten) < MAX_UNWRITTEN:
+                    self._unwritten[finding.parts] = finding
+                    self._has_unwritten.set()
+            case CrashReport() | SoundStart():
+                # Not kept: they count for two minutes only.
+                pass
+
+    async def _retry(self, call) -> None:
+        while True:
+            try:
+                await call()
+                return
+            except StoreUnavailable as exc:
+                log.warning("quarantines not stored; retrying", reason=str(exc))
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _load(self) -> None:
+        listing = await self._store.list(self._kind)
+        oldest = self._unix_seconds() - MAX_AGE_SECONDS
+        for item in listing.objects:
+            quarantine = self._decode(item)
+            if quarantine is None or item.spec["written_at"] < oldest:
+                await self._store.delete(self._kind, item.name)
+            else:
+                self._quarantine.merge(quarantine)
+
+    async def _write_next(self) -> None:
+        parts, quarantine = next(iter(self._unwritten.items()))
+        name = object_name(parts)
+        if quarantine.is_active:
+            await self._store.put(self._kind, name, self._encode(quarantine))
+        else:
+            await self._store.delete(self._kind, name)
+        if self._unwritten.get(parts) is quarantine:
+            del self._unwritten[parts]
+
+    def _encode(self, quarantine: Quarantine) -> dict[str, Any]:
+        return {
+            "parts": sorted(quarantine.parts),
+            "sequence": quarantine.sequence,
+            "trial_count": quarantine.trial_count,
+            "written_at": int(self._unix_seconds()),
+        }
+
+    def _decode(self, item: StoredObject) -> Quarantine | None:
+        """Return the quarantine of an entry, or None if it is invalid."""
+        now = self._clock.monotonic()
+        try:
+            parts = frozenset(str(part) for part in item.spec["parts"] if part)
+            if not parts:
+                raise ValueError("no parts")
+            int(item.spec["written_at"])
+            return Quarantine(
+                parts=parts,
+                sequence=int(item.spec["sequence"]),
+                is_active=True,
+                trial_count=int(item.spec["trial_count"]),
+                evidence_at=now,
+                trial_at=now + FIRST_TRIAL_SECONDS,
+            )
+        except (KeyError, TypeError, ValueError) as exc:
+            log.warning("invalid quarantine deleted", name=item.name, error=repr(exc))
+            return None
+
+
+def object_name(parts: frozenset[str]) -> str:
+    """Return the name under which a quarantine is stored.
+
+    Examples
+    --------
+    >>> object_name(frozenset({"m/a", "m/b"})) == object_name(frozenset({"m/b", "m/a"}))
+    True
+
+    """
+    return digest_of("\n".join(sorted(parts)).encode())
--- a/packages/gateway/eelgrassdale_gateway/quarantine/state.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/state.py
@@ -89,16 +89,16 @@
 
     _clock: Clock
     _gateway_group: Callable[[], GatewayGroup]
-    _publish: Callable[[Finding], None] = field(default=lambda _finding: None)
+    _subscribers: list[Callable[[Finding], None]] = field(factory=list)
     _reports: deque[CrashReport] = field(factory=lambda: deque(maxlen=MAX_REPORTS))
     _sound_at: OrderedDict[str, float] = field(factory=OrderedDict)
     _quarantines: dict[frozenset[str], Quarantine] = field(factory=dict)
     # Parts in reports and quarantines, whose sound starts are of interest to peers.
     _watched_parts: set[str] = field(factory=set)
 
-    def subscribe(self, publish: Callable[[Finding], None]) -> None:
-        """Set the function that tells other gateways of a finding."""
-        self._publish = publish
+    def subscribe(self, on_finding: Callable[[Finding], None]) -> None:
+        """Call a function with each further finding of this gateway."""
+        self._subscribers.append(on_finding)
 
     def is_refused(self, parts: frozenset[str]) -> bool:
         """Return whether a request whose prompt has these parts is refused now."""
@@ -279,6 +279,10 @@
                     self._new_quarantine(unsound, evidence_at=quarantine.evidence_at)
                 )
 
+    def _publish(self, finding: Finding) -> None:
+        for on_finding in self._subscribers:
+            on_finding(finding)
+
     def _set(self, quarantine: Quarantine) -> None:
         self._store(quarantine)
         self._publish(quarantine)
