Take a stream that ends without any event as broken off

What callers saw: an engine that closed its connection as it began an answer without length or chunks gave a 200 with an empty body, framed as whole. The same end was not counted as a crash of the engine.

Cause: such an answer ends with its connection, so its end looks like that of a complete one. Only a part of an event told them apart.

Ruled out, by tests that passed on the old code too: an earlier refusal repeated on a kept connection (its request id, or the lack of one, does not fit), an error of the next server in a stream that has begun (the connection is cut), and a head that is cut at any of 11 places (no response).

Change: a stream without events is lost, and sent on where it may run again.

Result: test_stream_without_length_that_breaks_off_is_continued[reply3] failed with an empty 200 before; the tests of packages/gateway pass (268).

--- a/packages/gateway/eelgrassdale_gateway/responses.py
+++ b/packages/gateway/eelgrassdale_gateway/responses.py
@@ -104,6 +104,9 @@
                 on_first_event()
     if splitter.has_partial_event():
         return Lost(reason="stream ended within an event"), False
+    if not call.event_count:
+        # Without a length, the end of a failed server's connection looks like this.
+        return Lost(reason="stream ended without an event"), False
     await _start_response(call, head)
     await call.exchange.finish()
     return Relayed(), True
