--- /dev/null
+++ b/packages/agent/eelgrassdale_agent/tests/test_backend.py
@@ -0,0 +1,66 @@
+"""Tests of responses of a backend server that are cut."""
+
+import contextlib
+import socket
+import threading
+
+import pytest
+
+from eelgrassdale.results import ResultCode
+from eelgrassdale_agent.backend import BackendError
+from eelgrassdale_agent.plainclient import PlainClient, PlainRequest
+
+REQUEST = PlainRequest(request_id="r-1", method="GET", path="/x", headers={}, body=b"")
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\n"
+TIMEOUT_SECONDS = 5
+
+
+@contextlib.contextmanager
+def server_that_sends(data):
+    """Run a server that answers one request with these bytes and closes."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve():
+            conn, _ = listener.accept()
+            with conn:
+                conn.recv(65_536)
+                conn.sendall(data)
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        yield f"http://127.0.0.1:{listener.getsockname()[1]}"
+        thread.join(TIMEOUT_SECONDS)
+
+
+def call(data):
+    """Return status and body of the response to a request."""
+    with server_that_sends(data) as url:
+        client = PlainClient(url=url)
+        exchange = client.exchange(timeout_seconds=TIMEOUT_SECONDS)
+        try:
+            response = client.call(REQUEST, exchange=exchange, traceparent="")
+            return response.status, b"".join(response.pieces())
+        finally:
+            exchange.close()
+
+
+@pytest.mark.parametrize("length", range(1, len(HEAD)))
+def test_response_cut_within_its_head_is_no_response(length):
+    """Guards against a 200 with an empty body, framed as whole."""
+    with pytest.raises(BackendError) as caught:
+        call(HEAD[:length])
+    assert caught.value.code is ResultCode.BACKEND_FAILED
+    assert caught.value.is_connection_lost
+
+
+@pytest.mark.parametrize("body", [b"", b"whol"])
+def test_response_cut_within_its_body_is_no_response(body):
+    with pytest.raises(BackendError):
+        call(HEAD + body)
+
+
+def test_whole_responses_are_passed_on():
+    assert call(HEAD + b"whole") == (200, b"whole")
+    assert call(b"HTTP/1.1 200 OK\r\n\r\nuntil the end") == (200, b"until the end")
+    interim = b"HTTP/1.1 100 Continue\r\n\r\n"
+    assert call(interim + HEAD + b"whole") == (200, b"whole")
