Split two modules that had grown large

Change: Exchange and what it needs of a connection are in http1.exchange, header_size in http1.messages, the cleanup of the pool in http1.pool; GatewaySettings and run_until_stopped have modules of their own. No logic changes.

--- a/packages/core/eelgrassdale/http1/__init__.py
+++ b/packages/core/eelgrassdale/http1/__init__.py
@@ -9,10 +9,11 @@
     ExchangeFailed,
     connect,
 )
+from eelgrassdale.http1.exchange import Exchange
 from eelgrassdale.http1.memory import ByteBudget, MemoryExhausted, Reservation
 from eelgrassdale.http1.messages import Headers, Request, ResponseHead, get_header
 from eelgrassdale.http1.pool import ConnectionPool
-from eelgrassdale.http1.server import CallerLimits, Exchange, HttpServer
+from eelgrassdale.http1.server import CallerLimits, HttpServer
 
 __all__ = [
     "ByteBudget",
--- a/packages/core/eelgrassdale/http1/messages.py
+++ b/packages/core/eelgrassdale/http1/messages.py
@@ -103,3 +103,15 @@
 def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
     """Return headers as the byte pairs that `h11` expects."""
     return [(key.encode("latin-1"), value.encode("latin-1")) for key, value in headers]
+
+
+def header_size(headers: Headers) -> int:
+    """Return the number of bytes of headers on the wire.
+
+    Examples
+    --------
+    >>> header_size((("host", "a.example"),))
+    17
+
+    """
+    return sum(len(name) + len(value) + 4 for name, value in headers)
--- a/packages/core/eelgrassdale/http1/pool.py
+++ b/packages/core/eelgrassdale/http1/pool.py
@@ -1,5 +1,6 @@
 """Pool of idle client connections, keyed by address."""
 
+import asyncio
 from collections import defaultdict, deque
 
 from eelgrassdale.clock import boottime_seconds
@@ -11,6 +12,7 @@
 # DEFAULT_IDLE_SECONDS without one, to allow for clock differences and delays.
 DEFAULT_IDLE_SECONDS = 2.0
 KEEP_ALIVE_FRACTION = 0.5
+CLEANUP_INTERVAL_SECONDS = 0.5
 
 
 class ConnectionPool:
@@ -85,6 +87,12 @@
             return
         idle.append(conn)
 
+    async def run_cleanup(self) -> None:
+        """Close expired connections repeatedly until cancelled."""
+        while True:
+            await asyncio.sleep(CLEANUP_INTERVAL_SECONDS)
+            self.close_expired()
+
     def close_expired(self) -> None:
         """Close idle connections that expired or were closed by the server."""
         for address, idle in list(self._idle.items()):
--- a/packages/core/eelgrassdale/http1/server.py
+++ b/packages/core/eelgrassdale/http1/server.py
@@ -8,6 +8,7 @@
 import structlog
 from attrs import frozen
 
+from eelgrassdale.http1.exchange import Exchange
 from eelgrassdale.http1.memory import ByteBudget, MemoryExhausted
 from eelgrassdale.http1.messages import (
     Headers,
@@ -15,6 +16,7 @@
     decode_headers,
     encode_headers,
     get_header,
+    header_size,
 )
 from eelgrassdale.http1.receiving import Receiver
 from eelgrassdale.http1.sockets import enable_keepalive, has_unread_bytes
@@ -49,55 +51,6 @@
     idle_seconds: float = 15.0
 
 
-class Exchange:
-    """One request of a caller and the response to it.
-
-    `respond` sends a whole response; `start`, `write` and `finish` send one in
-    parts. If a handler ends without `finish`, the connection is closed, so
-    that a partial response never looks complete.
-    """
-
-    def __init__(self, *, request: Request, connection: "_Connection") -> None:
-        self.request = request
-        self.is_started = False
-        self.is_finished = False
-        self._connection = connection
-
-    async def respond(
-        self, status: int, headers: Headers = (), body: bytes = b""
-    ) -> None:
-        """Send a whole response."""
-        length = (("content-length", str(len(body))),)
-        await self.start(status, headers + length)
-        if body and self.request.method != "HEAD":
-            await self.write(body)
-        await self.finish()
-
-    async def start(self, status: int, headers: Headers) -> None:
-        """Send status and headers; without a length, the body is chunked."""
-        self.is_started = True
-        await self._connection.send_head(status, headers)
-
-    async def write(self, data: bytes) -> None:
-        """Send bytes of the body; waits for a slow reader.
-
-        Raises
-        ------
-        ConnectionAbortedError
-            If the write did not finish within `STALLED_READER_SECONDS`.
-        """
-        await self._connection.send(h11.Data(data=data))
-
-    async def finish(self) -> None:
-        """End the response."""
-        await self._connection.send(h11.EndOfMessage())
-        self.is_finished = True
-
-    def abort(self) -> None:
-        """Close the connection, so that the response is visibly incomplete."""
-        self._connection.abort()
-
-
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
@@ -303,7 +256,7 @@
         if head is None:
             return None
         headers = decode_headers(head.headers)
-        if _header_size(headers) > limits.header_bytes:
+        if header_size(headers) > limits.header_bytes:
             raise _RequestRefused(431, f"headers exceed {limits.header_bytes} bytes")
         declared = get_header(headers, "content-length")
         if declared and int(declared) > limits.body_bytes:
@@ -438,11 +391,6 @@
                     pass
 
 
-def _header_size(headers: Headers) -> int:
-    """Return the size in bytes of the header lines, separators included."""
-    return sum(len(name) + len(value) + 4 for name, value in headers)
-
-
 class _RequestRefused(Exception):
     def __init__(self, status: int, reason: str) -> None:
         super().__init__(reason)
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/gatewaysettings.py
@@ -0,0 +1,32 @@
+"""Settings of one gateway, whatever platform it runs on."""
+
+from attrs import frozen
+
+from eelgrassdale_gateway.peertable import Address
+
+
+@frozen(kw_only=True)
+class GatewaySettings:
+    """Settings of one gateway; times in seconds.
+
+    `version_grace_seconds` is how long an older model version may serve after
+    operators set a newer one; `startup_grace_seconds` is the same from the start of
+    this process for versions set before it. `retry_ratio` and `retry_slack` limit the
+    retries of all gateways together. `stop_seconds` is the time that the platform
+    gives the process to stop. `body_memory_bytes` limits the memory for the bodies of
+    all requests together, and as much for those of all responses.
+    """
+
+    name: str
+    incarnation: int
+    data_centre: str
+    region: str
+    caller_address: Address
+    peer_address: Address
+    seed_addresses: tuple[Address, ...] = ()
+    version_grace_seconds: float = 6.5
+    startup_grace_seconds: float = 2.5
+    retry_ratio: float = 0.1
+    retry_slack: float = 20.0
+    stop_seconds: float = 8.0
+    body_memory_bytes: int = 33_554_432
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -1,12 +1,10 @@
 """The gateway process: builds the components, runs them and shuts down gracefully."""
 
 import asyncio
-import contextlib
-import signal
-from collections.abc import Awaitable, Callable, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import structlog
-from attrs import evolve, frozen
+from attrs import evolve
 
 from eelgrassdale.clock import Clock, SystemClock
 from eelgrassdale.http1 import (
@@ -20,6 +18,7 @@
 from eelgrassdale_gateway.attempts import AttemptRunner
 from eelgrassdale_gateway.dispatcher import Dispatcher
 from eelgrassdale_gateway.forwarding import Forwarder
+from eelgrassdale_gateway.gatewaysettings import GatewaySettings
 from eelgrassdale_gateway.headernames import HeaderNames
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.mirrorset import MirrorSet
@@ -47,7 +46,6 @@
 # A backend server in another region is 4 ms away. A lost SYN packet is retransmitted
 # only after one second, too late for most objectives.
 CONNECT_SECONDS = 0.4
-POOL_CLEANUP_SECONDS = 0.5
 # Shortest time of serving during shutdown: callers with an older list of gateways
 # still connect for a while.
 MIN_DRAIN_SECONDS = 2.0
@@ -61,33 +59,6 @@
 log = structlog.get_logger(__name__)
 
 
-@frozen(kw_only=True)
-class GatewaySettings:
-    """Settings of one gateway; times in seconds.
-
-    `version_grace_seconds` is how long an older model version may serve after
-    operators set a newer one; `startup_grace_seconds` is the same from the start of
-    this process for versions set before it. `retry_ratio` and `retry_slack` limit the
-    retries of all gateways together. `stop_seconds` is the time that the platform
-    gives the process to stop. `body_memory_bytes` limits the memory for the bodies of
-    all requests together, and as much for those of all responses.
-    """
-
-    name: str
-    incarnation: int
-    data_centre: str
-    region: str
-    caller_address: Address
-    peer_address: Address
-    seed_addresses: tuple[Address, ...] = ()
-    version_grace_seconds: float = 6.5
-    startup_grace_seconds: float = 2.5
-    retry_ratio: float = 0.1
-    retry_slack: float = 20.0
-    stop_seconds: float = 8.0
-    body_memory_bytes: int = 33_554_432
-
-
 class Gateway:
     """Forwards requests and exchanges heartbeats with its peers.
 
@@ -314,7 +285,7 @@
             group.create_task(self._log_pauses())
             group.create_task(self.peers.run())
             group.create_task(self._quarantine_exchange.run())
-            group.create_task(self._clean_up_pool())
+            group.create_task(self._pool.run_cleanup())
             if self._archive is not None:
                 group.create_task(self._archive.run())
             if self._mirror_set is not None:
@@ -416,11 +387,6 @@
                 log.warning("process was paused", seconds=round(seconds, 3))
             await asyncio.sleep(PAUSE_CHECK_INTERVAL_SECONDS)
 
-    async def _clean_up_pool(self) -> None:
-        while True:
-            await asyncio.sleep(POOL_CLEANUP_SECONDS)
-            self._pool.close_expired()
-
 
 def _gateway_endpoint(info: NodeInfo, address: Address) -> GatewayEndpoint:
     return GatewayEndpoint(
@@ -429,30 +395,3 @@
         region=info.region,
         address=address,
     )
-
-
-async def run_until_stopped(
-    *,
-    run: Callable[[], Awaitable[None]],
-    stop: Callable[[], Awaitable[None]],
-    on_reload: Callable[[], None] = lambda: None,
-) -> None:
-    """Run a program until SIGTERM or SIGINT, then stop it; SIGHUP calls `on_reload`."""
-    loop = asyncio.get_running_loop()
-    stop_event = asyncio.Event()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop_event.set)
-    loop.add_signal_handler(signal.SIGHUP, on_reload)
-    run_task = asyncio.ensure_future(run())
-    stop_requested = asyncio.ensure_future(stop_event.wait())
-    await asyncio.wait((run_task, stop_requested), return_when=asyncio.FIRST_COMPLETED)
-    if run_task.done():
-        stop_requested.cancel()
-        await run_task
-        return
-    try:
-        await stop()
-    finally:
-        run_task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await run_task
