Log what this attempt's response was when it could not connect

Cause: the fields has_head and attempt_events were reset when a request was sent, so a failed connect showed those of the attempt before.

Change: they are reset as an attempt begins. Crashes were not affected: a failed connect is no lost response. Tests of forwarding pass.

--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -86,6 +86,7 @@
         the attempt is withdrawn. Cancelling or withdrawing an attempt closes its
         connection, which ends the work at the backend server.
         """
+        call.start_attempt()
         call.response_memory.release()
         # A late second copy of an earlier response to the same request would pass for
         # the response to a retry on the same connection.
@@ -98,7 +99,7 @@
             return NotRun(reason=f"connect: {exc}", was_sent=False)
         is_reusable = False
         try:
-            call.start_attempt()
+            call.send_count += 1
             outcome, is_reusable = await self._send_and_receive(
                 call, server, conn, observer, latest_start
             )
--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -35,7 +35,6 @@
         return self.admitted.route.is_idempotent
 
     def start_attempt(self) -> None:
-        """Count an attempt and forget the response to the one before."""
-        self.send_count += 1
+        """Forget the response to the attempt before."""
         self.attempt_has_head = False
         self.attempt_event_count = 0
