Split the settings of weights and the ages of requests from large modules

Change: the decision which code ends an old request is a pure function in trackedrequests; DispatcherContext and WeightsSettings have modules of their own.

--- a/packages/agent/eelgrassdale_agent/program.py
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -30,7 +30,8 @@
 from eelgrassdale_agent.requestadmission import RequestAdmission
 from eelgrassdale_agent.settings import AgentSettings
 from eelgrassdale_agent.streams import StreamTable
-from eelgrassdale_agent.transfer import WeightsSettings, WeightsTask
+from eelgrassdale_agent.transfer import WeightsTask
+from eelgrassdale_agent.transfer_settings import WeightsSettings
 
 SWEEP_INTERVAL_SECONDS = 0.25
 DRAIN_CHECK_INTERVAL_SECONDS = 0.05
--- a/packages/agent/eelgrassdale_agent/tests/agentcluster.py
+++ b/packages/agent/eelgrassdale_agent/tests/agentcluster.py
@@ -23,7 +23,8 @@
 from eelgrassdale.weights import Manifest
 from eelgrassdale.wire import AgentService, Headroom, NodeServer, ProbeAnswer
 from eelgrassdale_agent.tests.weights_fakes import FakeEngine, FakeGate, FakeSource
-from eelgrassdale_agent.transfer import WeightsSettings, WeightsTask
+from eelgrassdale_agent.transfer import WeightsTask
+from eelgrassdale_agent.transfer_settings import WeightsSettings
 
 REGIONS = ("north", "central", "south")
 SERVICE = "lids"
--- a/packages/agent/eelgrassdale_agent/transfer.py
+++ b/packages/agent/eelgrassdale_agent/transfer.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Mapping
 
 import structlog
-from attrs import frozen
 
 from eelgrassdale.catalog import Configuration
 from eelgrassdale.node.context import NodeContext
@@ -23,6 +22,7 @@
 from eelgrassdale_agent.transfer_probing import Prober, new_envelope
 from eelgrassdale_agent.transfer_run import RunSettings, TransferRun
 from eelgrassdale_agent.transfer_serving import BYTES_SENT, ChunkServer
+from eelgrassdale_agent.transfer_settings import WeightsSettings
 from eelgrassdale_agent.transfer_store import ChunkStore
 from eelgrassdale_agent.transfer_target import Target, target_of
 from eelgrassdale_agent.transfer_workers import (
@@ -47,28 +47,10 @@
 )
 IDLE_POLL_SECONDS = 0.5
 RETRY_INTERVAL_SECONDS = 1.0
-DEFAULT_REGION_BYTES_PER_SECOND = 1_500_000.0
-DEFAULT_CHUNK_MEMORY_BYTES = 64 * 1024 * 1024
 
 log = structlog.get_logger(__name__)
 
 
-@frozen(kw_only=True)
-class WeightsSettings:
-    """Settings of the weights task; rates in bytes per second, 0 for no limit.
-
-    `region_bytes_per_second` is the bandwidth that weights may use from one region to
-    another, shared by the agents that fetch over that link.
-    """
-
-    backend_url: str
-    weight_sources: tuple[str, ...] = ()
-    link_bytes_per_second: float = 0.0
-    chunk_memory_bytes: int = DEFAULT_CHUNK_MEMORY_BYTES
-    origin_region: str = ""
-    region_bytes_per_second: float = DEFAULT_REGION_BYTES_PER_SECOND
-
-
 class WeightsTask:
     """Keeps the engine on the configured model version.
 
--- a/packages/entry/eelgrassdale_entry/dispatcher.py
+++ b/packages/entry/eelgrassdale_entry/dispatcher.py
@@ -10,20 +10,16 @@
 from random import Random
 
 import structlog
-from attrs import frozen
 
 from eelgrassdale.catalog import Configuration
-from eelgrassdale.clock import Clock
-from eelgrassdale.membership.members import MembersView
 from eelgrassdale.results import ExecutionState, ResultCode, info_of
-from eelgrassdale.routing.choice import Location, candidates, choose_server
+from eelgrassdale.routing.choice import candidates, choose_server
 from eelgrassdale.routing.fairqueue import FairQueue
 from eelgrassdale.routing.outcomes import keyed_code
 from eelgrassdale.routing.regions import RegionBudget
 from eelgrassdale.routing.retry import may_send_again
-from eelgrassdale.spread.replica import Replica
-from eelgrassdale.telemetry import InvariantMonitor, Metrics
 from eelgrassdale_entry.agents import AgentState, AgentTable
+from eelgrassdale_entry.dispatchercontext import DispatcherContext
 from eelgrassdale_entry.keyagents import KeyAgentMonitor, agents_for_new_keys
 from eelgrassdale_entry.messages import (
     AgentReport,
@@ -41,17 +37,13 @@
     begin_attempt,
     can_continue,
     estimated_wire_bytes,
+    expiry_code,
     final_error,
     new_tracked_request,
     record_failure,
 )
 
 TICK_INTERVAL_SECONDS = 0.05
-# Time after the deadline of a request within which its agent may still end it.
-DEADLINE_GRACE_SECONDS = 1.0
-# A queued request of this age fails if its service has no usable agent. Until then
-# a member may still appear, for instance after this node started.
-NO_SERVER_TIMEOUT_SECONDS = 1.0
 # Interval at which the lists of agents for which keys are issued are refreshed, also
 # when no agent reported a change of what it accepts.
 KEY_AGENTS_REFRESH_SECONDS = 0.25
@@ -63,18 +55,6 @@
 log = structlog.get_logger(__name__)
 
 
-@frozen(kw_only=True)
-class DispatcherContext:
-    """State of the process that the dispatcher uses."""
-
-    clock: Clock
-    metrics: Metrics
-    monitor: InvariantMonitor
-    replica: Replica
-    members: MembersView
-    location: Location
-
-
 class Dispatcher:
     """Routes requests to agents; public methods may be called from any thread."""
 
@@ -390,20 +370,14 @@
         }
 
     def _check_deadlines(self, tracked: TrackedRequest, now: float) -> None:
-        req = tracked.request
-        if tracked.current is not None:
-            if now >= req.deadline + DEADLINE_GRACE_SECONDS:
-                self._cancel(tracked)
-                self._fail(tracked, ResultCode.DEADLINE_EXCEEDED)
-        elif now >= req.deadline:
-            self._service_state(req.service).queue.remove(req.request_id)
-            self._fail(tracked, ResultCode.DEADLINE_PASSED)
-        elif (
-            now >= req.arrived_at + NO_SERVER_TIMEOUT_SECONDS
-            and not self._agents.subset(req.service)
-        ):
-            self._service_state(req.service).queue.remove(req.request_id)
-            self._fail(tracked, ResultCode.NO_BACKEND_SERVER)
+        code = expiry_code(
+            tracked,
+            now=now,
+            has_agents=lambda: bool(self._agents.subset(tracked.request.service)),
+        )
+        if code is not None:
+            self._cancel(tracked)
+            self._fail(tracked, code)
 
     def _fail(self, tracked: TrackedRequest, code: int, message: str = "") -> None:
         self._tracked.pop(tracked.request.request_id, None)
--- a/packages/entry/eelgrassdale_entry/program.py
+++ b/packages/entry/eelgrassdale_entry/program.py
@@ -23,7 +23,8 @@
 from eelgrassdale_entry.agents import AgentTable
 from eelgrassdale_entry.bulkheads import Bulkheads
 from eelgrassdale_entry.callerapi import CallerContext, new_application
-from eelgrassdale_entry.dispatcher import Dispatcher, DispatcherContext
+from eelgrassdale_entry.dispatcher import Dispatcher
+from eelgrassdale_entry.dispatchercontext import DispatcherContext
 from eelgrassdale_entry.entrynodes import EntryNodeDirectory
 from eelgrassdale_entry.handler import EntryHandler
 from eelgrassdale_entry.httpserver import CallerServer
--- a/packages/entry/eelgrassdale_entry/trackedrequests.py
+++ b/packages/entry/eelgrassdale_entry/trackedrequests.py
@@ -1,5 +1,7 @@
 """Requests that the dispatcher tracks, and their attempts."""
 
+from collections.abc import Callable
+
 from attrs import define, field
 
 from eelgrassdale.catalog import ServiceKind
@@ -15,6 +17,11 @@
 # Estimated bytes per generated token including framing, for the byte budget between
 # regions.
 WIRE_BYTES_PER_TOKEN = 8
+# Time after the deadline of a request within which its agent may still end it.
+DEADLINE_GRACE_SECONDS = 1.0
+# A queued request of this age fails if its service has no usable agent. Until then
+# a member may still appear, for instance after this node started.
+NO_SERVER_TIMEOUT_SECONDS = 1.0
 
 
 @define(kw_only=True, eq=False)
@@ -130,3 +137,21 @@
 def estimated_wire_bytes(req: CallerRequest) -> int:
     """Return the estimated bytes that a request and its answer transfer."""
     return len(req.body) + WIRE_BYTES_PER_TOKEN * req.max_tokens
+
+
+def expiry_code(
+    tracked: TrackedRequest, *, now: float, has_agents: Callable[[], bool]
+) -> ResultCode | None:
+    """Return the code with which a request is ended now because of its age, or None.
+
+    `has_agents` returns whether its service has a usable agent.
+    """
+    req = tracked.request
+    if tracked.current is not None:
+        is_overdue = now >= req.deadline + DEADLINE_GRACE_SECONDS
+        return ResultCode.DEADLINE_EXCEEDED if is_overdue else None
+    if now >= req.deadline:
+        return ResultCode.DEADLINE_PASSED
+    if now >= req.arrived_at + NO_SERVER_TIMEOUT_SECONDS and not has_agents():
+        return ResultCode.NO_BACKEND_SERVER
+    return None
