Log a quarantine that a gateway learns from others

Cause: in a play with three deadly parts and a rolling restart, four of nine gateways refused prompts without a log line that says why: they had learned of the quarantine from a peer or the store.

Change: a line 'prompt quarantine learned'. Tests of the quarantine pass.

--- a/packages/gateway/eelgrassdale_gateway/quarantine/state.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/state.py
@@ -195,6 +195,12 @@
             q.parts < quarantine.parts for q in self.active()
         ):
             return
+        log.warning(
+            "prompt quarantine learned",
+            parts=sorted(quarantine.parts),
+            is_active=quarantine.is_active,
+            sequence=quarantine.sequence,
+        )
         self._store(quarantine)
         self._reduce_to_unsound()
 
