Log what a server says of its leaving, and when its entry says so

The logs could not tell the hypotheses on requests to leaving servers apart: a response head was not logged, nor the moment at which the list first shows that a server leaves. A response whose header says that its server leaves now has a line with the request's id, the server's incarnation and whether the list says so too; a change of the entry has one as well. Responses with status 421 are left out, as another server may send them.

--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -16,6 +16,7 @@
     Request,
 )
 from eelgrassdale.http1.messages import end_to_end_headers
+from eelgrassdale_gateway.advisories import Advisory, read_advisory
 from eelgrassdale_gateway.calls import Call
 from eelgrassdale_gateway.headernames import HeaderNames
 from eelgrassdale_gateway.model import BackendServer
@@ -47,9 +48,11 @@
     """Functions that an attempt calls as its response proceeds.
 
     `on_head` is called for the head of a response that is not a refusal,
-    `on_first_event` for the first event of a stream that is new to the caller.
+    `on_first_event` for the first event of a stream that is new to the caller,
+    `on_advisory` for each head that the intended backend server sent.
     """
 
+    on_advisory: Callable[[Advisory], None]
     on_head: Callable[[], None]
     on_first_event: Callable[[], None]
 
@@ -139,6 +142,9 @@
             return Withdrawn(reason="not begun while its version could serve"), False
         if head.header(self._header_names.request_id) != call.admitted.request_id:
             return Lost(reason="response to another request"), False
+        if head.status != MISDIRECTED_REQUEST_STATUS:
+            # That status may come from another server, which reused the address.
+            observer.on_advisory(read_advisory(head, self._header_names))
         if head.status == MISDIRECTED_REQUEST_STATUS or head.header(
             self._header_names.not_run
         ):
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -8,6 +8,7 @@
 from eelgrassdale.http1 import Exchange
 from eelgrassdale.results import ResultCode, ResultError, info_of
 from eelgrassdale_gateway.admission import admit
+from eelgrassdale_gateway.advisories import Advisory
 from eelgrassdale_gateway.attempts import AttemptObserver, AttemptRunner
 from eelgrassdale_gateway.calls import Call
 from eelgrassdale_gateway.dispatcher import Dispatcher, PlacementRefused
@@ -141,6 +142,9 @@
                 call,
                 server,
                 AttemptObserver(
+                    on_advisory=lambda advisory: self._on_advisory(
+                        call, server, advisory
+                    ),
                     on_head=lambda: self._on_response_start(call, in_flight),
                     on_first_event=lambda: self._quarantine.record_start(
                         admitted.quarantine_parts
@@ -157,6 +161,14 @@
         self._record_outcome(call, server, outcome)
         return outcome, server
 
+    def _on_advisory(
+        self, call: Call, server: BackendServer, advisory: Advisory
+    ) -> None:
+        if advisory.is_leaving:
+            self._telemetry.record_leaving(
+                request_id=call.admitted.request_id, server=server
+            )
+
     def _on_response_start(self, call: Call, in_flight: InFlightRequest) -> None:
         self._dispatcher.record_response_start(in_flight)
         self._telemetry.record_response_start(
--- a/packages/gateway/eelgrassdale_gateway/headernames.py
+++ b/packages/gateway/eelgrassdale_gateway/headernames.py
@@ -46,3 +46,6 @@
 
     last_event_id: str
     """Id of the last event already received of a stream that is resumed."""
+
+    leaving: str
+    """Set to 1 in the responses of a backend server that is about to stop."""
--- a/packages/gateway/eelgrassdale_gateway/routingstate.py
+++ b/packages/gateway/eelgrassdale_gateway/routingstate.py
@@ -95,6 +95,14 @@
             )
         for server_id in self.servers.keys() - servers.keys():
             log.info("backend server no longer listed", server=server_id)
+        for server_id, server in servers.items():
+            known = self.servers.get(server_id)
+            if server.is_leaving and (known is None or not known.is_leaving):
+                log.info(
+                    "backend server listed as leaving",
+                    server=server_id,
+                    born=server.started_at_ms,
+                )
         self.servers = servers
         self.has_servers = True
         self._notify()
--- a/packages/gateway/eelgrassdale_gateway/telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/telemetry.py
@@ -119,6 +119,16 @@
             parts=",".join(call.admitted.shared_parts),
         )
 
+    def record_leaving(self, *, request_id: str, server: BackendServer) -> None:
+        """Log that a response says that its backend server is about to stop."""
+        log.info(
+            "backend server says that it leaves",
+            request=request_id,
+            server=server.id,
+            born=server.started_at_ms,
+            is_listed_as_leaving=server.is_leaving,
+        )
+
     def record_retry_refusal(self, *, request_id: str, reason: str) -> None:
         """Log why a failed attempt is not retried."""
         log.info("request not retried", request=request_id, reason=reason)
--- a/packages/gateway/eelgrassdale_gateway/tests/harness.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/harness.py
@@ -39,6 +39,7 @@
     prompt_parts="t-parts",
     output_tokens_hint="t-length",
     last_event_id="t-last-event",
+    leaving="t-leaving",
 )
 ENGINE = EngineProfile(
     slots=4,
