Send nothing more to a server that said it leaves

What callers saw: requests still went to a backend server that was about to stop, for as long as the platform's store did not tell the gateways; those that it did not finish were cut. Cause: whether a server leaves was taken from the store's list alone. A server's own word in its responses was not read. The class of fault is control-plane state that overrides fresher data-plane evidence. Change: a registry keeps, by incarnation, the servers that said they leave. They get no request from then on. The word holds until the incarnation ends: a later response without the header, or an entry that expired and returned, does not end it, and a successor under the same id or address is another incarnation. A restart forgets it. Why it works: the word is applied before the response reaches the caller, and each placement looks at it.

--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -10,6 +10,7 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.results import ResultCode
+from eelgrassdale_gateway.advisories import AdvisoryRegistry
 from eelgrassdale_gateway.availability import AvailabilityTracker
 from eelgrassdale_gateway.candidates import CandidateGroup
 from eelgrassdale_gateway.health import HealthTracker
@@ -92,6 +93,7 @@
     ) -> None:
         self.loads = LoadTracker()
         self.health = HealthTracker()
+        self.advisories = AdvisoryRegistry(on_change=self._on_advisory_change)
         self.notices = NoticeRegistry()
         self.quarantine = PromptQuarantine(clock=clock, gateway_group=gateway_group)
         self._clock = clock
@@ -104,6 +106,7 @@
         self._cold_send_times: dict[str, deque[float]] = defaultdict(deque)
         self._tick_timer: asyncio.TimerHandle | None = None
         self._availability = AvailabilityTracker()
+        # Servers that leave are left out.
         self._servers_by_service: dict[str, list[BackendServer]] = {}
         routing_state.subscribe(self._on_routing_state_change)
         self._on_routing_state_change()
@@ -170,11 +173,25 @@
         )
         for server_id in self._cold_send_times.keys() - servers.keys():
             del self._cold_send_times[server_id]
+        self.advisories.retain(
+            {server.incarnation for server in servers.values()},
+            now=self._clock.monotonic(),
+        )
+        self._group_staying_servers()
+        self.dispatch_waiting()
+
+    def _on_advisory_change(self) -> None:
+        self._group_staying_servers()
+
+    def _group_staying_servers(self) -> None:
+        """Group the servers that are not leaving, by their entry or their own word."""
         by_service: dict[str, list[BackendServer]] = {}
-        for server in servers.values():
-            by_service.setdefault(server.service, []).append(server)
+        for server in self._routing_state.servers.values():
+            if not server.is_leaving and not self.advisories.is_leaving(
+                server.incarnation
+            ):
+                by_service.setdefault(server.service, []).append(server)
         self._servers_by_service = by_service
-        self.dispatch_waiting()
 
     def _withdraw(self, queued: _QueuedRequest) -> None:
         queue = self._queues[queued.waiter.service]
@@ -329,15 +346,14 @@
     def _servers_in_service(self, waiter: Waiter) -> list[BackendServer]:
         """Return the backend servers of the service that may run the request.
 
-        Servers that are leaving, in a data centre taken out of service, or in a
-        region that the request does not allow are left out.
+        Servers in a data centre taken out of service, or in a region that the request
+        does not allow, are left out.
         """
         out_of_service = self._routing_state.data_centres_out
         return [
             server
             for server in self._servers_by_service.get(waiter.service, ())
-            if not server.is_leaving
-            and server.data_centre not in out_of_service
+            if server.data_centre not in out_of_service
             and (not waiter.regions or server.region in waiter.regions)
         ]
 
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -164,10 +164,13 @@
     def _on_advisory(
         self, call: Call, server: BackendServer, advisory: Advisory
     ) -> None:
-        if advisory.is_leaving:
+        advisories = self._dispatcher.advisories
+        incarnation = server.incarnation
+        if advisory.is_leaving and not advisories.is_leaving(incarnation):
             self._telemetry.record_leaving(
                 request_id=call.admitted.request_id, server=server
             )
+        advisories.record(incarnation, advisory, now=self._clock.monotonic())
 
     def _on_response_start(self, call: Call, in_flight: InFlightRequest) -> None:
         self._dispatcher.record_response_start(in_flight)
--- a/packages/gateway/eelgrassdale_gateway/model.py
+++ b/packages/gateway/eelgrassdale_gateway/model.py
@@ -158,6 +158,10 @@
     version: int
 
 
+# Id and start time of a backend server, which together identify one run of it.
+Incarnation = tuple[str, int]
+
+
 @frozen(kw_only=True)
 class BackendServer:
     """One incarnation of a backend server as the platform lists it.
@@ -180,6 +184,6 @@
     versions: Mapping[str, int] = Factory(dict)
 
     @property
-    def incarnation(self) -> tuple[str, int]:
+    def incarnation(self) -> Incarnation:
         """Id and start time, which together identify one run of the server."""
         return (self.id, self.started_at_ms)
