Move the choice of eligible servers out of the dispatcher

The dispatcher held queues and all that decides which servers may get a request, 415 lines with the registry of advisories. eligibility.py now owns loads, health, notices, advisories, availability and the cold rate; the dispatcher queues, places and refuses.

--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -1,7 +1,7 @@
-"""Assigns waiting requests to backend servers; owns queues, loads and health."""
+"""Queues requests and assigns them to backend servers."""
 
 import asyncio
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Callable
 from random import Random
 
@@ -10,16 +10,11 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.results import ResultCode
-from eelgrassdale_gateway.advisories import AdvisoryRegistry
-from eelgrassdale_gateway.availability import AvailabilityTracker
 from eelgrassdale_gateway.candidates import CandidateGroup
-from eelgrassdale_gateway.health import HealthTracker
-from eelgrassdale_gateway.loads import InFlightRequest, LoadTracker
-from eelgrassdale_gateway.model import BackendServer, Service
-from eelgrassdale_gateway.notices import NoticeRegistry
+from eelgrassdale_gateway.eligibility import EligibleServers, Moment
+from eelgrassdale_gateway.loads import InFlightRequest
+from eelgrassdale_gateway.model import BackendServer
 from eelgrassdale_gateway.placement import (
-    EXTRA_ENGINE_REQUESTS,
-    Candidate,
     Placement,
     min_first_event_seconds,
     place,
@@ -28,11 +23,10 @@
 from eelgrassdale_gateway.quarantine import PromptQuarantine
 from eelgrassdale_gateway.queueing import Waiter, is_late, placement_order, refusal_code
 from eelgrassdale_gateway.routingstate import RoutingState
-from eelgrassdale_gateway.shares import GatewayGroup, share_of_count, share_of_rate
+from eelgrassdale_gateway.shares import GatewayGroup
 
 # Interval at which queues are processed again when nothing else triggers it.
 TICK_SECONDS = 0.02
-COLD_WINDOW_SECONDS = 1.0
 
 log = structlog.get_logger(__name__)
 
@@ -55,8 +49,7 @@
 class _DispatchPass:
     """Time and candidates of one pass over a queue."""
 
-    now: float
-    peer_count: int
+    moment: Moment
     groups: dict[tuple[str, frozenset[str]], CandidateGroup] = field(factory=dict)
 
 
@@ -91,25 +84,24 @@
         gateway_group: Callable[[], GatewayGroup],
         seed: int | None = None,
     ) -> None:
-        self.loads = LoadTracker()
-        self.health = HealthTracker()
-        self.advisories = AdvisoryRegistry(on_change=self._on_advisory_change)
-        self.notices = NoticeRegistry()
+        self.eligible = EligibleServers(
+            clock=clock,
+            routing_state=routing_state,
+            data_centre=data_centre,
+            gateway_group=gateway_group,
+        )
+        self.loads = self.eligible.loads
+        self.health = self.eligible.health
+        self.advisories = self.eligible.advisories
+        self.notices = self.eligible.notices
         self.quarantine = PromptQuarantine(clock=clock, gateway_group=gateway_group)
         self._clock = clock
         self._routing_state = routing_state
-        self._data_centre = data_centre
         self._live_gateway_count = live_gateway_count
-        self._gateway_group = gateway_group
         self._rng = Random(seed)
         self._queues: dict[str, list[_QueuedRequest]] = defaultdict(list)
-        self._cold_send_times: dict[str, deque[float]] = defaultdict(deque)
         self._tick_timer: asyncio.TimerHandle | None = None
-        self._availability = AvailabilityTracker()
-        # Servers that leave are left out.
-        self._servers_by_service: dict[str, list[BackendServer]] = {}
         routing_state.subscribe(self._on_routing_state_change)
-        self._on_routing_state_change()
 
     async def place(self, waiter: Waiter) -> tuple[Placement, InFlightRequest]:
         """Wait for a backend server; return the placement and its load entry.
@@ -145,7 +137,7 @@
 
     def latest_start(self, server: BackendServer, model: str) -> float:
         """Return until when a request of a model may begin at a backend server."""
-        version = self._loaded_version(server, model, self._clock.monotonic())
+        version = self.eligible.loaded_version(server, model, self._clock.monotonic())
         return self._routing_state.latest_start(model, version)
 
     def waiting_count(self) -> int:
@@ -164,35 +156,9 @@
             self._dispatch_queue(server.service)
 
     def _on_routing_state_change(self) -> None:
-        servers = self._routing_state.servers
-        self._availability.retain(servers.keys())
-        self.loads.retain(servers.keys())
-        self.notices.retain(
-            {server.address for server in servers.values()},
-            now=self._clock.monotonic(),
-        )
-        for server_id in self._cold_send_times.keys() - servers.keys():
-            del self._cold_send_times[server_id]
-        self.advisories.retain(
-            {server.incarnation for server in servers.values()},
-            now=self._clock.monotonic(),
-        )
-        self._group_staying_servers()
+        self.eligible.update()
         self.dispatch_waiting()
 
-    def _on_advisory_change(self) -> None:
-        self._group_staying_servers()
-
-    def _group_staying_servers(self) -> None:
-        """Group the servers that are not leaving, by their entry or their own word."""
-        by_service: dict[str, list[BackendServer]] = {}
-        for server in self._routing_state.servers.values():
-            if not server.is_leaving and not self.advisories.is_leaving(
-                server.incarnation
-            ):
-                by_service.setdefault(server.service, []).append(server)
-        self._servers_by_service = by_service
-
     def _withdraw(self, queued: _QueuedRequest) -> None:
         queue = self._queues[queued.waiter.service]
         if queued in queue:
@@ -207,9 +173,8 @@
         if not queue:
             return
         now = self._clock.monotonic()
-        dispatch_pass = _DispatchPass(
-            now=now, peer_count=self._live_gateway_count() - 1
-        )
+        moment = Moment(now=now, peer_count=self._live_gateway_count() - 1)
+        dispatch_pass = _DispatchPass(moment=moment)
         by_waiter = {queued.waiter: queued for queued in queue}
         ended: set[_QueuedRequest] = set()
         for waiter in placement_order(by_waiter, now):
@@ -231,7 +196,7 @@
         self, queued: _QueuedRequest, dispatch_pass: _DispatchPass
     ) -> bool:
         """Place or refuse one request; return whether it leaves the queue."""
-        waiter, now = queued.waiter, dispatch_pass.now
+        waiter, now = queued.waiter, dispatch_pass.moment.now
         if queued.fut.done():
             # Cancelled, but the task that waits in `place` has not run since.
             return True
@@ -253,13 +218,13 @@
     def _record_placement(
         self, placement: Placement, waiter: Waiter, dispatch_pass: _DispatchPass
     ) -> InFlightRequest:
-        server, now = placement.server, dispatch_pass.now
+        server, now = placement.server, dispatch_pass.moment.now
         in_flight = self.loads.record_send(server.id, tokens=waiter.tokens, now=now)
-        if now < server.cold_until:
-            self._cold_send_times[server.id].append(now)
+        self.eligible.record_send(server, now=now)
         for group in dispatch_pass.groups.values():
             group.replace(
-                server.id, self._candidate(server, group.service, dispatch_pass)
+                server.id,
+                self.eligible.candidate(server, group.service, dispatch_pass.moment),
             )
         return in_flight
 
@@ -271,7 +236,7 @@
             return None
         if group.has_servers:
             # They may be loading weights and become usable soon.
-            waiter.last_candidate_at = dispatch_pass.now
+            waiter.last_candidate_at = dispatch_pass.moment.now
         candidates = group.open_candidates(waiter.excluded)
         if not candidates:
             return None
@@ -280,7 +245,7 @@
             candidates=candidates,
             tokens=waiter.tokens,
             rng=self._rng,
-            is_late=is_late(waiter, dispatch_pass.now),
+            is_late=is_late(waiter, dispatch_pass.moment.now),
         )
 
     def _group_for(
@@ -294,27 +259,10 @@
         key = (waiter.model, waiter.regions)
         group = dispatch_pass.groups.get(key)
         if group is None:
-            group = self._new_group(service, waiter, dispatch_pass)
+            group = self.eligible.group(waiter, service, dispatch_pass.moment)
             dispatch_pass.groups[key] = group
         return group
 
-    def _new_group(
-        self, service: Service, waiter: Waiter, dispatch_pass: _DispatchPass
-    ) -> CandidateGroup:
-        in_service = self._servers_in_service(waiter)
-        usable = self._usable_servers(in_service, waiter.model, dispatch_pass.now)
-        candidates = {
-            server.id: candidate
-            for server in usable
-            if (candidate := self._candidate(server, service, dispatch_pass))
-        }
-        return CandidateGroup(
-            service=service,
-            has_servers=bool(in_service),
-            usable=frozenset(server.id for server in usable),
-            candidates=candidates,
-        )
-
     def _estimate_durations(self, waiter: Waiter) -> None:
         """Set how long the request would take on an idle engine."""
         table = self._routing_state.table
@@ -324,92 +272,3 @@
                 service, waiter.tokens
             )
             waiter.streaming_seconds = streaming_seconds(service, waiter.output_tokens)
-
-    def _candidate(
-        self, server: BackendServer, service: Service, dispatch_pass: _DispatchPass
-    ) -> Candidate | None:
-        """Return a server with its load, or None if it may get no request now."""
-        now = dispatch_pass.now
-        if not self._may_send_to_cold(server, service, now):
-            return None
-        if not self._may_send_to_newly_available(server, service, now):
-            return None
-        return Candidate(
-            server=server,
-            load=self.loads.server_load(
-                server.id, now=now, peer_count=dispatch_pass.peer_count
-            ),
-            is_avoided=self.health.is_avoided(server.id, now=now),
-            is_local=server.data_centre == self._data_centre,
-        )
-
-    def _servers_in_service(self, waiter: Waiter) -> list[BackendServer]:
-        """Return the backend servers of the service that may run the request.
-
-        Servers in a data centre taken out of service, or in a region that the request
-        does not allow, are left out.
-        """
-        out_of_service = self._routing_state.data_centres_out
-        return [
-            server
-            for server in self._servers_by_service.get(waiter.service, ())
-            if server.data_centre not in out_of_service
-            and (not waiter.regions or server.region in waiter.regions)
-        ]
-
-    def _usable_servers(
-        self, servers: list[BackendServer], model: str, now: float
-    ) -> list[BackendServer]:
-        """Return the servers that accept requests and hold a version that may serve."""
-        min_version = 0
-        if model:
-            min_version = max(1, self._routing_state.required_version(model, now))
-        usable = [
-            server
-            for server in servers
-            if not self.notices.is_closed(server.address, now=now)
-            and self._loaded_version(server, model, now) >= min_version
-        ]
-        self._availability.update(
-            listed=[s.id for s in servers], usable={s.id for s in usable}, now=now
-        )
-        return usable
-
-    def _loaded_version(self, server: BackendServer, model: str, now: float) -> int:
-        """Return the loaded version; it may be out of date, but never too high."""
-        if not model:
-            return 0
-        listed = server.versions.get(model, 0)
-        return max(listed, self.notices.loaded_version(server.address, model, now=now))
-
-    def _may_send_to_newly_available(
-        self, server: BackendServer, service: Service, now: float
-    ) -> bool:
-        """Return whether this gateway may send to an engine that became available.
-
-        For a short time its slots are divided among all gateways.
-        """
-        if service.engine is None or not self._availability.is_newly_available(
-            server.id, now=now
-        ):
-            return True
-        return self.loads.own_requests(server.id) < share_of_count(
-            max(server.slots, 1) + EXTRA_ENGINE_REQUESTS,
-            resource=server.id,
-            gateway_group=self._gateway_group(),
-        )
-
-    def _may_send_to_cold(
-        self, server: BackendServer, service: Service, now: float
-    ) -> bool:
-        """Return whether this gateway may send a cold server one more request now."""
-        if now >= server.cold_until or not service.cold_requests_per_second:
-            return True
-        sends = self._cold_send_times[server.id]
-        while sends and now - sends[0] > COLD_WINDOW_SECONDS:
-            sends.popleft()
-        return len(sends) + 1 <= share_of_rate(
-            service.cold_requests_per_second,
-            resource=server.id,
-            gateway_group=self._gateway_group(),
-        )
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/eligibility.py
@@ -0,0 +1,208 @@
+"""Decides which backend servers may get a request now.
+
+A server may be excluded because it leaves, its data centre is out of service, its
+region is not allowed, it holds no version that may serve, or its rate is limited while
+it is cold or just became available.
+"""
+
+from collections import defaultdict, deque
+from collections.abc import Callable
+
+from attrs import frozen
+
+from eelgrassdale.clock import Clock
+from eelgrassdale_gateway.advisories import AdvisoryRegistry
+from eelgrassdale_gateway.availability import AvailabilityTracker
+from eelgrassdale_gateway.candidates import CandidateGroup
+from eelgrassdale_gateway.health import HealthTracker
+from eelgrassdale_gateway.loads import LoadTracker
+from eelgrassdale_gateway.model import BackendServer, Service
+from eelgrassdale_gateway.notices import NoticeRegistry
+from eelgrassdale_gateway.placement import EXTRA_ENGINE_REQUESTS, Candidate
+from eelgrassdale_gateway.queueing import Waiter
+from eelgrassdale_gateway.routingstate import RoutingState
+from eelgrassdale_gateway.shares import GatewayGroup, share_of_count, share_of_rate
+
+COLD_WINDOW_SECONDS = 1.0
+
+
+@frozen(kw_only=True)
+class Moment:
+    """Monotonic time of a pass over a queue, and the number of live peers."""
+
+    now: float
+    peer_count: int
+
+
+class EligibleServers:
+    """Selects the backend servers for requests; owns what is known of each server.
+
+    Not thread-safe.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of monotonic time.
+    routing_state : RoutingState
+        Configuration and backend servers.
+    data_centre : str
+        Data centre of this gateway.
+    gateway_group : callable
+        Returns the gateways among which limits are divided.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        routing_state: RoutingState,
+        data_centre: str,
+        gateway_group: Callable[[], GatewayGroup],
+    ) -> None:
+        self.loads = LoadTracker()
+        self.health = HealthTracker()
+        self.advisories = AdvisoryRegistry(on_change=self._group_staying_servers)
+        self.notices = NoticeRegistry()
+        self._clock = clock
+        self._routing_state = routing_state
+        self._data_centre = data_centre
+        self._gateway_group = gateway_group
+        self._availability = AvailabilityTracker()
+        self._cold_send_times: dict[str, deque[float]] = defaultdict(deque)
+        # Servers that leave are left out.
+        self._servers_by_service: dict[str, list[BackendServer]] = {}
+        self.update()
+
+    def update(self) -> None:
+        """Follow a change of the list of backend servers."""
+        servers = self._routing_state.servers
+        now = self._clock.monotonic()
+        self._availability.retain(servers.keys())
+        self.loads.retain(servers.keys())
+        self.notices.retain({server.address for server in servers.values()}, now=now)
+        for server_id in self._cold_send_times.keys() - servers.keys():
+            del self._cold_send_times[server_id]
+        self.advisories.retain(
+            {server.incarnation for server in servers.values()}, now=now
+        )
+        self._group_staying_servers()
+
+    def group(self, waiter: Waiter, service: Service, moment: Moment) -> CandidateGroup:
+        """Return the candidates for requests like this one."""
+        in_service = self._servers_in_service(waiter)
+        usable = self._usable_servers(in_service, waiter.model, moment.now)
+        candidates = {
+            server.id: candidate
+            for server in usable
+            if (candidate := self.candidate(server, service, moment))
+        }
+        return CandidateGroup(
+            service=service,
+            has_servers=bool(in_service),
+            usable=frozenset(server.id for server in usable),
+            candidates=candidates,
+        )
+
+    def candidate(
+        self, server: BackendServer, service: Service, moment: Moment
+    ) -> Candidate | None:
+        """Return a server with its load, or None if it may get no request now."""
+        now = moment.now
+        if not self._may_send_to_cold(server, service, now):
+            return None
+        if not self._may_send_to_newly_available(server, service, now):
+            return None
+        return Candidate(
+            server=server,
+            load=self.loads.server_load(
+                server.id, now=now, peer_count=moment.peer_count
+            ),
+            is_avoided=self.health.is_avoided(server.id, now=now),
+            is_local=server.data_centre == self._data_centre,
+        )
+
+    def record_send(self, server: BackendServer, *, now: float) -> None:
+        """Count a request against the limits of its backend server."""
+        if now < server.cold_until:
+            self._cold_send_times[server.id].append(now)
+
+    def loaded_version(self, server: BackendServer, model: str, now: float) -> int:
+        """Return the loaded version; it may be out of date, but never too high."""
+        if not model:
+            return 0
+        listed = server.versions.get(model, 0)
+        return max(listed, self.notices.loaded_version(server.address, model, now=now))
+
+    def _group_staying_servers(self) -> None:
+        """Group the servers that are not leaving, by their entry or their own word."""
+        by_service: dict[str, list[BackendServer]] = {}
+        for server in self._routing_state.servers.values():
+            if not server.is_leaving and not self.advisories.is_leaving(
+                server.incarnation
+            ):
+                by_service.setdefault(server.service, []).append(server)
+        self._servers_by_service = by_service
+
+    def _servers_in_service(self, waiter: Waiter) -> list[BackendServer]:
+        """Return the backend servers of the service that may run the request.
+
+        Servers in a data centre taken out of service, or in a region that the request
+        does not allow, are left out.
+        """
+        out_of_service = self._routing_state.data_centres_out
+        return [
+            server
+            for server in self._servers_by_service.get(waiter.service, ())
+            if server.data_centre not in out_of_service
+            and (not waiter.regions or server.region in waiter.regions)
+        ]
+
+    def _usable_servers(
+        self, servers: list[BackendServer], model: str, now: float
+    ) -> list[BackendServer]:
+        """Return the servers that accept requests and hold a version that may serve."""
+        min_version = 0
+        if model:
+            min_version = max(1, self._routing_state.required_version(model, now))
+        usable = [
+            server
+            for server in servers
+            if not self.notices.is_closed(server.address, now=now)
+            and self.loaded_version(server, model, now) >= min_version
+        ]
+        self._availability.update(
+            listed=[s.id for s in servers], usable={s.id for s in usable}, now=now
+        )
+        return usable
+
+    def _may_send_to_newly_available(
+        self, server: BackendServer, service: Service, now: float
+    ) -> bool:
+        """Return whether this gateway may send to an engine that became available.
+
+        For a short time its slots are divided among all gateways.
+        """
+        if service.engine is None or not self._availability.is_newly_available(
+            server.id, now=now
+        ):
+            return True
+        return self.loads.own_requests(server.id) < share_of_count(
+            max(server.slots, 1) + EXTRA_ENGINE_REQUESTS,
+            resource=server.id,
+            gateway_group=self._gateway_group(),
+        )
+
+    def _may_send_to_cold(
+        self, server: BackendServer, service: Service, now: float
+    ) -> bool:
+        """Return whether this gateway may send a cold server one more request now."""
+        if now >= server.cold_until or not service.cold_requests_per_second:
+            return True
+        sends = self._cold_send_times[server.id]
+        while sends and now - sends[0] > COLD_WINDOW_SECONDS:
+            sends.popleft()
+        return len(sends) + 1 <= share_of_rate(
+            service.cold_requests_per_second,
+            resource=server.id,
+            gateway_group=self._gateway_group(),
+        )
