Take the repeated sending of news out of the quarantine's exchange

Advisories of servers are about to be told to other gateways in the same way: each item to all peers, three times, as datagrams may be lost. No behaviour changes; the tests of the quarantine pass as they stand.

--- a/packages/gateway/eelgrassdale_gateway/quarantine/exchange.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/exchange.py
@@ -7,13 +7,11 @@
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from random import Random
 
-from attrs import define
-
 from eelgrassdale.clock import Clock
+from eelgrassdale_gateway.broadcasting import Broadcaster
 from eelgrassdale_gateway.messages import (
     CrashNotice,
     PromptNotice,
@@ -30,21 +28,13 @@
 )
 
 INTERVAL_SECONDS = 0.25
-SENDS_PER_FINDING = 3
 # Keeps a datagram within the size that networks carry in a few packets.
 MAX_FINDINGS_PER_DATAGRAM = 16
-MAX_PENDING_FINDINGS = 128
 MAX_PARTS = 16
 
 Address = tuple[str, int]
 
 
-@define
-class _Pending:
-    finding: Finding
-    sends_left: int = SENDS_PER_FINDING
-
-
 class QuarantineExchange:
     """Sends the findings of one gateway and applies those of others.
 
@@ -74,13 +64,17 @@
         self._peers = peers
         self._send = send
         self._rng = Random(seed)
-        self._pending: deque[_Pending] = deque(maxlen=MAX_PENDING_FINDINGS)
+        self._broadcaster: Broadcaster[Finding] = Broadcaster(
+            peers=peers,
+            send=lambda data, address: self._send(data, address),
+            encode=self._encode,
+        )
         self._is_send_due = False
         quarantine.subscribe(self.publish)
 
     def publish(self, finding: Finding) -> None:
         """Send a finding to all peers, together with others of the same moment."""
-        self._pending.append(_Pending(finding))
+        self._broadcaster.add(finding)
         if not self._is_send_due:
             self._is_send_due = True
             asyncio.get_running_loop().call_soon(self.send_pending)
@@ -97,17 +91,7 @@
     def send_pending(self) -> None:
         """Send the findings that were not sent often enough yet to all peers."""
         self._is_send_due = False
-        pending = list(self._pending)
-        addresses = self._peers()
-        for data in self._encode(entry.finding for entry in pending):
-            for address in addresses:
-                self._send(data, address)
-        for entry in pending:
-            entry.sends_left -= 1
-        self._pending = deque(
-            (entry for entry in pending if entry.sends_left > 0),
-            maxlen=MAX_PENDING_FINDINGS,
-        )
+        self._broadcaster.send_pending()
 
     def send_states(self, address: Address) -> None:
         """Send the quarantines to a peer that may not know them."""
