Move the distribution of weights out of the gateway's program

program.py builds and runs all components; relay, prefetch, origin and server of weights now form one object in staging/distribution.py. No behaviour changes.

--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -35,11 +35,9 @@
 from eelgrassdale_gateway.sharedsource import LocalTopology, SharedSource
 from eelgrassdale_gateway.shares import GatewayGroup
 from eelgrassdale_gateway.staging import (
-    ChunkRelay,
     GatewayEndpoint,
-    OriginInfo,
+    WeightsDistribution,
     WeightsOrigin,
-    WeightsServer,
 )
 from eelgrassdale_gateway.telemetry import RequestTelemetry
 
@@ -74,8 +72,6 @@
         clock: Clock | None = None,
     ) -> None:
         self.cfg = cfg
-        self._make_origin = make_origin
-        self._origin: tuple[Address, OriginInfo] | None = None
         self.is_stopping = False
         self._clock = clock or SystemClock()
         self.routing_state = RoutingState(
@@ -160,14 +156,14 @@
             limits=self._caller_limits,
             body_memory=ByteBudget(limit=cfg.body_memory_bytes),
         )
-        self.relay = ChunkRelay(
+        self._weights = WeightsDistribution(
             me=_gateway_endpoint(self.peers.me, cfg.peer_address),
             gateways=self._live_gateway_endpoints,
-            origin=self._origin_info,
+            routing_state=self.routing_state,
+            make_origin=make_origin,
         )
         self._mirror_set: MirrorSet | None = None
         self._archive: QuarantineArchive | None = None
-        self._weights = WeightsServer(read=self.relay.read)
         self._objects = ObjectServer(
             change_logs=lambda: (
                 self._mirror_set.change_logs() if self._mirror_set else {}
@@ -179,7 +175,6 @@
         )
         self._peer_server = HttpServer(handler=self._handle_peer)
         self._refuses_requests = False
-        self._prefetching: dict[str, asyncio.Future[None]] = {}
 
     def mirror_store(
         self,
@@ -252,15 +247,7 @@
         )
         for model, version in versions.items():
             if not is_first_list and version > previous_versions.get(model, 0):
-                self._prefetch(model, version)
-
-    def _prefetch(self, model: str, version: int) -> None:
-        previous_prefetch = self._prefetching.get(model)
-        if previous_prefetch is not None:
-            previous_prefetch.cancel()
-        self._prefetching[model] = asyncio.ensure_future(
-            self.relay.prefetch(model, version)
-        )
+                self._weights.prefetch(model, version)
 
     def record_store_recovery(self, outage: float) -> None:
         """Record the end of an outage of the platform's store; `outage` in seconds."""
@@ -328,23 +315,6 @@
     def _gateway_group(self) -> GatewayGroup:
         return self.peers.table.gateway_group()
 
-    def _origin_info(self) -> OriginInfo | None:
-        """Return the origin of weights in the configuration, or None."""
-        table = self.routing_state.table
-        services = table.services.values() if table else ()
-        configured_origin = next(
-            (s.origin for s in services if s.origin is not None), None
-        )
-        if configured_origin is None:
-            return None
-        if self._origin is None or self._origin[0] != configured_origin.address:
-            origin_info = OriginInfo(
-                origin=self._make_origin(configured_origin.address),
-                region=configured_origin.region,
-            )
-            self._origin = (configured_origin.address, origin_info)
-        return self._origin[1]
-
     def _live_gateway_endpoints(self) -> list[GatewayEndpoint]:
         return [
             _gateway_endpoint(peer.info, peer.address)
--- a/packages/gateway/eelgrassdale_gateway/staging/__init__.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/__init__.py
@@ -7,6 +7,7 @@
 """
 
 from eelgrassdale_gateway.staging.chunks import ChunkSet, WeightsManifest
+from eelgrassdale_gateway.staging.distribution import WeightsDistribution
 from eelgrassdale_gateway.staging.engine import (
     Engine,
     EngineState,
@@ -35,6 +36,7 @@
     "OriginInfo",
     "ReconcilerSettings",
     "SourceUnavailable",
+    "WeightsDistribution",
     "WeightsManifest",
     "WeightsOrigin",
     "WeightsReconciler",
