Tell other gateways that a server leaves

A gateway that restarted, or that never had a response of the server, went on sending to it until its own first response, although others knew. Each gateway now sends what is new from its own responses to all peers, three times, and all it knows to a peer that has just started; a sample of at most 32 servers goes to a random peer each second. What the platform's list shows already is not sent, so a planned replacement of servers costs no datagram. Tests: news over a network that loses 40 %, a restarted gateway, no echo, a bounded sample, malformed entries.

--- a/packages/gateway/eelgrassdale_gateway/advisories/state.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/state.py
@@ -1,11 +1,13 @@
 """What one gateway knows of backend servers from their own responses.
 
-A restart forgets all of it; the next response of each server tells it again.
+A restart forgets all of it. Other gateways, and the next response of each server, tell
+it again.
 """
 
 from collections.abc import Callable, Collection
 
-from attrs import define, field
+import structlog
+from attrs import define, field, frozen
 
 from eelgrassdale_gateway.advisories.reading import Advisory
 from eelgrassdale_gateway.model import Incarnation
@@ -16,6 +18,19 @@
 # Bound of what is remembered of unlisted backend servers.
 MAX_UNLISTED = 1024
 
+log = structlog.get_logger(__name__)
+
+
+@frozen(kw_only=True)
+class Leaving:
+    """A backend server said that it leaves, in a response at the time `heard_at`.
+
+    Times are in seconds of the monotonic clock.
+    """
+
+    incarnation: Incarnation
+    heard_at: float
+
 
 @define(kw_only=True, eq=False)
 class AdvisoryRegistry:
@@ -39,36 +54,65 @@
     """
 
     _on_change: Callable[[], None] = field(default=lambda: None)
-    # When each incarnation that leaves was last listed or heard.
-    _leaving: dict[Incarnation, float] = field(factory=dict)
+    _subscribers: list[Callable[[Leaving], None]] = field(factory=list, init=False)
+    _leaving: dict[Incarnation, Leaving] = field(factory=dict, init=False)
+    # When each incarnation was last listed or heard.
+    _seen_at: dict[Incarnation, float] = field(factory=dict, init=False)
+
+    def subscribe(self, on_news: Callable[[Leaving], None]) -> None:
+        """Call a function with all that is new to this gateway from a response."""
+        self._subscribers.append(on_news)
 
     def record(
         self, incarnation: Incarnation, advisory: Advisory, *, now: float
     ) -> None:
         """Record what a response says of the incarnation that sent it."""
-        if advisory.is_leaving:
-            self._record_leaving(incarnation, now)
+        if not advisory.is_leaving:
+            return
+        self._seen_at[incarnation] = now
+        leaving = Leaving(incarnation=incarnation, heard_at=now)
+        if self._store(leaving):
+            for on_news in self._subscribers:
+                on_news(leaving)
+
+    def merge(self, leaving: Leaving, *, now: float) -> None:
+        """Apply what another gateway heard."""
+        self._seen_at.setdefault(leaving.incarnation, now)
+        if self._store(leaving):
+            server, born = leaving.incarnation
+            log.info(
+                "another gateway says that a backend server leaves",
+                server=server,
+                born=born,
+            )
 
     def is_leaving(self, incarnation: Incarnation) -> bool:
         """Return whether a backend server said that it leaves."""
         return incarnation in self._leaving
 
+    def all(self) -> list[Leaving]:
+        """Return all that is in force."""
+        return list(self._leaving.values())
+
     def retain(self, listed: Collection[Incarnation], *, now: float) -> None:
         """Forget backend servers that have not been listed for a long time."""
-        for incarnation in self._leaving.keys() & listed:
-            self._leaving[incarnation] = now
+        for incarnation in self._seen_at.keys() & listed:
+            self._seen_at[incarnation] = now
         unlisted = sorted(
             (seen_at, incarnation)
-            for incarnation, seen_at in self._leaving.items()
+            for incarnation, seen_at in self._seen_at.items()
             if incarnation not in listed
         )
         excess = len(unlisted) - MAX_UNLISTED
         for position, (seen_at, incarnation) in enumerate(unlisted):
             if position < excess or now - seen_at > UNLISTED_RETENTION_SECONDS:
+                del self._seen_at[incarnation]
                 del self._leaving[incarnation]
 
-    def _record_leaving(self, incarnation: Incarnation, now: float) -> None:
-        is_new = incarnation not in self._leaving
-        self._leaving[incarnation] = now
-        if is_new:
-            self._on_change()
+    def _store(self, leaving: Leaving) -> bool:
+        """Store a statement; return whether it is new."""
+        if leaving.incarnation in self._leaving:
+            return False
+        self._leaving[leaving.incarnation] = leaving
+        self._on_change()
+        return True
--- a/packages/gateway/eelgrassdale_gateway/messages.py
+++ b/packages/gateway/eelgrassdale_gateway/messages.py
@@ -12,6 +12,7 @@
     module_name="eelgrassdale_peers_thrift",
 )
 
+AdvisoryNotice = _module.AdvisoryNotice
 CrashNotice = _module.CrashNotice
 Datagram = _module.Datagram
 GatewayEntry = _module.GatewayEntry
@@ -23,6 +24,7 @@
 PeerAddress = _module.PeerAddress
 PromptNotice = _module.PromptNotice
 QuarantineNotice = _module.QuarantineNotice
+ServerAdvisory = _module.ServerAdvisory
 ServerLoad = _module.ServerLoad
 ServerNotice = _module.ServerNotice
 SoundNotice = _module.SoundNotice
@@ -32,7 +34,7 @@
 
 
 def encode(message: Any) -> bytes:
-    """Return a `Heartbeat`, `ServerNotice` or `PromptNotice` as a datagram.
+    """Return a heartbeat or a notice as a datagram.
 
     Examples
     --------
@@ -44,6 +46,8 @@
         datagram = Datagram(heartbeat=message)
     elif isinstance(message, PromptNotice):
         datagram = Datagram(prompt_notice=message)
+    elif isinstance(message, AdvisoryNotice):
+        datagram = Datagram(advisory_notice=message)
     else:
         datagram = Datagram(notice=message)
     return encode_struct(datagram)
@@ -91,5 +95,7 @@
         return heartbeat if is_complete and heartbeat.known is not None else None
     if datagram.prompt_notice is not None:
         return datagram.prompt_notice
+    if datagram.advisory_notice is not None:
+        return datagram.advisory_notice
     notice = datagram.notice
     return notice if notice is not None and notice.host else None
--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -16,6 +16,7 @@
 from eelgrassdale.hashing import rendezvous_order
 from eelgrassdale_gateway.loads import Load, LoadTracker
 from eelgrassdale_gateway.messages import (
+    AdvisoryNotice,
     Heartbeat,
     KindRevision,
     PeerAddress,
@@ -66,12 +67,14 @@
         on_notice: Callable[[], None],
         revisions: Callable[[], Mapping[str, int]] = dict,
         on_prompt_notice: Callable[[PromptNotice], None] = lambda _notice: None,
+        on_advisory_notice: Callable[[AdvisoryNotice], None] = lambda _notice: None,
         on_new_process: Callable[[Address], None] = lambda _address: None,
         seed: int | None = None,
     ) -> None:
         self.me = me
         self._revisions = revisions
         self._on_prompt_notice = on_prompt_notice
+        self._on_advisory_notice = on_advisory_notice
         self._on_new_process = on_new_process
         self.is_leaving = False
         self._clock = clock
@@ -192,6 +195,8 @@
                 self._on_notice()
         elif isinstance(message, PromptNotice):
             self._on_prompt_notice(message)
+        elif isinstance(message, AdvisoryNotice):
+            self._on_advisory_notice(message)
         else:
             self._handle_heartbeat(message, addr)
 
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -77,11 +77,24 @@
     3: list<QuarantineNotice> quarantines
 }
 
+// What a backend server, named by its incarnation, said of itself in a response.
+struct ServerAdvisory {
+    1: string server
+    2: i64 started_at_ms
+    3: bool is_leaving
+    4: i32 age_ms
+}
+
+struct AdvisoryNotice {
+    1: list<ServerAdvisory> advisories
+}
+
 // Exactly one field is set.
 struct Datagram {
     1: optional Heartbeat heartbeat
     2: optional ServerNotice notice
     3: optional PromptNotice prompt_notice
+    4: optional AdvisoryNotice advisory_notice
 }
 
 // `spec` and `status` are JSON, as in the platform's store.
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -15,6 +15,7 @@
     HttpServer,
 )
 from eelgrassdale.pauses import PAUSE_CHECK_INTERVAL_SECONDS, PauseDetector
+from eelgrassdale_gateway.advisories import AdvisoryExchange
 from eelgrassdale_gateway.attempts import AttemptRunner
 from eelgrassdale_gateway.dispatcher import Dispatcher
 from eelgrassdale_gateway.forwarding import Forwarder
@@ -103,9 +104,15 @@
             on_notice=self.dispatcher.dispatch_waiting,
             revisions=lambda: self._mirror_set.revisions() if self._mirror_set else {},
             on_prompt_notice=lambda notice: self._quarantine_exchange.handle(notice),
-            on_new_process=lambda address: self._quarantine_exchange.send_states(
-                address
-            ),
+            on_advisory_notice=lambda notice: self._advisory_exchange.handle(notice),
+            on_new_process=self._on_new_gateway,
+        )
+        self._advisory_exchange = AdvisoryExchange(
+            clock=self._clock,
+            registry=self.dispatcher.advisories,
+            peers=self.peers.addresses,
+            send=self.peers.send,
+            is_listed_as_leaving=self.routing_state.is_listed_as_leaving,
         )
         self._quarantine_exchange = QuarantineExchange(
             clock=self._clock,
@@ -132,6 +139,11 @@
             "Combinations of prompt parts whose requests are refused.",
             lambda: len(self.dispatcher.quarantine.active()),
         )
+        self.telemetry.gauge(
+            "leaving_servers",
+            "Backend servers that said in a response that they leave.",
+            lambda: len(self.dispatcher.advisories.all()),
+        )
         self._retry_budgets = RetryBudgets(
             ratio=cfg.retry_ratio,
             slack=cfg.retry_slack,
@@ -272,6 +284,7 @@
             group.create_task(self._log_pauses())
             group.create_task(self.peers.run())
             group.create_task(self._quarantine_exchange.run())
+            group.create_task(self._advisory_exchange.run())
             group.create_task(self._pool.run_cleanup())
             if self._archive is not None:
                 group.create_task(self._archive.run())
@@ -304,6 +317,11 @@
             return
         await self.forwarder.handle(exchange)
 
+    def _on_new_gateway(self, address: Address) -> None:
+        """Tell a gateway that has just started what it cannot know yet."""
+        self._quarantine_exchange.send_states(address)
+        self._advisory_exchange.send_all(address)
+
     def _caller_limits(self) -> CallerLimits:
         table = self.routing_state.table
         return table.limits if table else CallerLimits()
--- a/packages/gateway/eelgrassdale_gateway/routingstate.py
+++ b/packages/gateway/eelgrassdale_gateway/routingstate.py
@@ -9,7 +9,7 @@
 import structlog
 from attrs import frozen
 
-from eelgrassdale_gateway.model import BackendServer, RouteTable
+from eelgrassdale_gateway.model import BackendServer, Incarnation, RouteTable
 
 log = structlog.get_logger(__name__)
 
@@ -107,6 +107,15 @@
         self.has_servers = True
         self._notify()
 
+    def is_listed_as_leaving(self, incarnation: Incarnation) -> bool:
+        """Return whether the list shows that an incarnation leaves."""
+        server = self.servers.get(incarnation[0])
+        return (
+            server is not None
+            and server.incarnation == incarnation
+            and server.is_leaving
+        )
+
     def set_data_centres_out(self, names: frozenset[str]) -> None:
         """Replace the data centres that operators took out of service."""
         if names == self.data_centres_out:
