Send nothing to a server for the time that it names in a refusal

What callers saw: a server that turned a request away with 503 and a Retry-After got further requests from the same gateway a quarter of a second later, each of which lost time and a retry of its budget. Cause: the same as of requests to leaving servers: what a server says of itself in a response was not read. A refusal only made the server avoided, and an avoided server still gets requests when it is the only one. Change: the registry of advisories keeps until when a server wants no requests, for this gateway and this incarnation only. If all servers of a request are paused beyond its time, it is refused at once and its caller is told when the first of them is back.

--- a/packages/gateway/eelgrassdale_gateway/advisories/state.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/state.py
@@ -37,12 +37,13 @@
     """The advisories of backend servers that are in force, by incarnation.
 
     An incarnation that leaves does so until its end. Its successor at the same address
-    or under the same id is another incarnation. Not thread-safe.
+    or under the same id is another incarnation. A pause holds for this gateway only.
+    Not thread-safe.
 
     Parameters
     ----------
     on_change : callable
-        Called when a backend server may no longer get requests.
+        Called when a backend server is found to leave.
 
     Examples
     --------
@@ -56,6 +57,7 @@
     _on_change: Callable[[], None] = field(default=lambda: None)
     _subscribers: list[Callable[[Leaving], None]] = field(factory=list, init=False)
     _leaving: dict[Incarnation, Leaving] = field(factory=dict, init=False)
+    _paused_until: dict[Incarnation, float] = field(factory=dict, init=False)
     # When each incarnation was last listed or heard.
     _seen_at: dict[Incarnation, float] = field(factory=dict, init=False)
 
@@ -67,13 +69,14 @@
         self, incarnation: Incarnation, advisory: Advisory, *, now: float
     ) -> None:
         """Record what a response says of the incarnation that sent it."""
-        if not advisory.is_leaving:
-            return
-        self._seen_at[incarnation] = now
-        leaving = Leaving(incarnation=incarnation, heard_at=now)
-        if self._store(leaving):
-            for on_news in self._subscribers:
-                on_news(leaving)
+        if advisory.pause_seconds:
+            self._seen_at[incarnation] = now
+            self._paused_until[incarnation] = max(
+                self.paused_until(incarnation), now + advisory.pause_seconds
+            )
+        if advisory.is_leaving:
+            self._seen_at[incarnation] = now
+            self._record_leaving(Leaving(incarnation=incarnation, heard_at=now))
 
     def merge(self, leaving: Leaving, *, now: float) -> None:
         """Apply what another gateway heard."""
@@ -90,8 +93,12 @@
         """Return whether a backend server said that it leaves."""
         return incarnation in self._leaving
 
+    def paused_until(self, incarnation: Incarnation) -> float:
+        """Return until when a backend server wants no requests from this gateway."""
+        return self._paused_until.get(incarnation, float("-inf"))
+
     def all(self) -> list[Leaving]:
-        """Return all that is in force."""
+        """Return all that other gateways should know."""
         return list(self._leaving.values())
 
     def retain(self, listed: Collection[Incarnation], *, now: float) -> None:
@@ -107,7 +114,13 @@
         for position, (seen_at, incarnation) in enumerate(unlisted):
             if position < excess or now - seen_at > UNLISTED_RETENTION_SECONDS:
                 del self._seen_at[incarnation]
-                del self._leaving[incarnation]
+                self._leaving.pop(incarnation, None)
+                self._paused_until.pop(incarnation, None)
+
+    def _record_leaving(self, leaving: Leaving) -> None:
+        if self._store(leaving):
+            for on_news in self._subscribers:
+                on_news(leaving)
 
     def _store(self, leaving: Leaving) -> bool:
         """Store a statement; return whether it is new."""
--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -14,7 +14,8 @@
     the attempts that may have run it. `event_count` and `last_event_id` describe
     the stream events already relayed to the caller. `response_memory` counts the
     bytes of a response that are held. `attempt_has_head` and `attempt_event_count`
-    describe the response to the newest attempt.
+    describe the response to the newest attempt. `retry_at` is when a refused caller
+    may come back, if that is known.
     """
 
     admitted: AdmittedRequest
@@ -28,6 +29,7 @@
     last_event_at: float = 0.0
     attempt_has_head: bool = False
     attempt_event_count: int = 0
+    retry_at: float | None = None
 
     @property
     def is_idempotent(self) -> bool:
--- a/packages/gateway/eelgrassdale_gateway/candidates.py
+++ b/packages/gateway/eelgrassdale_gateway/candidates.py
@@ -25,11 +25,14 @@
     `has_servers` is true if any server may run the requests, now or soon. `usable`
     are the ids of the servers that accept requests and hold a version that may
     serve, `candidates` those of them that may get one more request now, by id.
+    `resumes_at` is when the first of them takes requests again, if all that could be
+    usable want none for a while.
     """
 
     service: Service
     has_servers: bool
     usable: frozenset[str]
+    resumes_at: float = float("-inf")
     candidates: dict[str, Candidate]
     _open: list[Candidate] | None = field(default=None, init=False)
 
--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -32,11 +32,16 @@
 
 
 class PlacementRefused(Exception):
-    """No backend server accepted the request in time; `code` is the reason."""
+    """No backend server accepted the request in time; `code` is the reason.
 
-    def __init__(self, code: ResultCode) -> None:
+    `retry_at` is the monotonic time at which one takes requests again, if that is
+    known.
+    """
+
+    def __init__(self, code: ResultCode, *, retry_at: float | None = None) -> None:
         super().__init__(code.name)
         self.code = code
+        self.retry_at = retry_at
 
 
 @define(kw_only=True, eq=False)
@@ -211,7 +216,9 @@
             return True
         code = refusal_code(waiter, now)
         if code is not None:
-            queued.fut.set_exception(PlacementRefused(code))
+            is_paused = waiter.earliest_start > now
+            retry_at = waiter.earliest_start if is_paused else None
+            queued.fut.set_exception(PlacementRefused(code, retry_at=retry_at))
             return True
         return False
 
@@ -237,6 +244,7 @@
         if group.has_servers:
             # They may be loading weights and become usable soon.
             waiter.last_candidate_at = dispatch_pass.moment.now
+        waiter.earliest_start = group.resumes_at
         candidates = group.open_candidates(waiter.excluded)
         if not candidates:
             return None
--- a/packages/gateway/eelgrassdale_gateway/eligibility.py
+++ b/packages/gateway/eelgrassdale_gateway/eligibility.py
@@ -1,8 +1,8 @@
 """Decides which backend servers may get a request now.
 
 A server may be excluded because it leaves, its data centre is out of service, its
-region is not allowed, it holds no version that may serve, or its rate is limited while
-it is cold or just became available.
+region is not allowed, it holds no version that may serve, it wants no requests for a
+while, or its rate is limited while it is cold or just became available.
 """
 
 from collections import defaultdict, deque
@@ -90,7 +90,12 @@
     def group(self, waiter: Waiter, service: Service, moment: Moment) -> CandidateGroup:
         """Return the candidates for requests like this one."""
         in_service = self._servers_in_service(waiter)
-        usable = self._usable_servers(in_service, waiter.model, moment.now)
+        accepting = self._accepting_servers(in_service, waiter.model, moment.now)
+        paused_until = {
+            server.id: self.advisories.paused_until(server.incarnation)
+            for server in accepting
+        }
+        usable = [s for s in accepting if paused_until[s.id] <= moment.now]
         candidates = {
             server.id: candidate
             for server in usable
@@ -100,6 +105,7 @@
             service=service,
             has_servers=bool(in_service),
             usable=frozenset(server.id for server in usable),
+            resumes_at=min(paused_until.values(), default=float("-inf")),
             candidates=candidates,
         )
 
@@ -157,23 +163,23 @@
             and (not waiter.regions or server.region in waiter.regions)
         ]
 
-    def _usable_servers(
+    def _accepting_servers(
         self, servers: list[BackendServer], model: str, now: float
     ) -> list[BackendServer]:
         """Return the servers that accept requests and hold a version that may serve."""
         min_version = 0
         if model:
             min_version = max(1, self._routing_state.required_version(model, now))
-        usable = [
+        accepting = [
             server
             for server in servers
             if not self.notices.is_closed(server.address, now=now)
             and self.loaded_version(server, model, now) >= min_version
         ]
         self._availability.update(
-            listed=[s.id for s in servers], usable={s.id for s in usable}, now=now
+            listed=[s.id for s in servers], usable={s.id for s in accepting}, now=now
         )
-        return usable
+        return accepting
 
     def _may_send_to_newly_available(
         self, server: BackendServer, service: Service, now: float
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -23,7 +23,12 @@
     Relayed,
     Withdrawn,
 )
-from eelgrassdale_gateway.queueing import Waiter, is_late, retry_after_seconds
+from eelgrassdale_gateway.queueing import (
+    MIN_RETRY_AFTER_SECONDS,
+    Waiter,
+    is_late,
+    retry_after_seconds,
+)
 from eelgrassdale_gateway.responses import response_headers
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.routingstate import RoutingState
@@ -105,6 +110,7 @@
             try:
                 outcome, server = await self._run_attempt(call, excluded)
             except PlacementRefused as exc:
+                call.retry_at = exc.retry_at
                 await self._end_without_retry(call, exc.code, response)
                 return
             if isinstance(outcome, Relayed):
@@ -298,6 +304,8 @@
         if call is not None and code is ResultCode.PROMPT_QUARANTINED:
             return self._quarantine.seconds_until_trial(call.admitted.quarantine_parts)
         now = self._clock.monotonic()
+        if call is not None and call.retry_at is not None:
+            return max(MIN_RETRY_AFTER_SECONDS, call.retry_at - now)
         expires_at = call.admitted.expires_at if call else now
         return retry_after_seconds(now=now, expires_at=expires_at)
 
--- a/packages/gateway/eelgrassdale_gateway/queueing.py
+++ b/packages/gateway/eelgrassdale_gateway/queueing.py
@@ -37,7 +37,7 @@
     is due, `expires_at` when the gateway ends the request. `min_first_event_seconds`
     and `streaming_seconds` are the times to its first event and from there to its last
     at an idle engine. `last_candidate_at` is when a backend server that may run it was
-    last listed.
+    last listed, `earliest_start` the first moment at which one takes requests.
     """
 
     service: str
@@ -54,6 +54,7 @@
     min_first_event_seconds: float = 0.0
     streaming_seconds: float = 0.0
     last_candidate_at: float = field(default=float("-inf"))
+    earliest_start: float = field(default=float("-inf"))
 
 
 def placement_order(waiters: Iterable[Waiter], now: float) -> list[Waiter]:
@@ -91,8 +92,9 @@
 
 def refusal_code(waiter: Waiter, now: float) -> ResultCode | None:
     """Return the code with which to refuse a waiting request now, or None."""
+    start_at = max(now, waiter.earliest_start)
     if (
-        now + waiter.min_first_event_seconds + waiter.streaming_seconds
+        start_at + waiter.min_first_event_seconds + waiter.streaming_seconds
         >= waiter.expires_at
     ):
         # Its response could not end in time.
