Log the limits that servers name in their responses

The logs could not tell the hypotheses on exceeded limits apart. Each response head that names a limit now has a line with the request's id, the server's incarnation and the limit; placements were logged already, so the rate of each gateway at a server can be compared with what it was told. No decision uses the header yet.

--- a/packages/gateway/eelgrassdale_gateway/advisories/reading.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/reading.py
@@ -18,11 +18,14 @@
     """What one response says of the backend server that sent it.
 
     `is_leaving` is true if the server is about to stop and wants no new requests.
-    `pause_seconds` is for how long it wants no requests from this gateway.
+    `pause_seconds` is for how long it wants no requests from this gateway. `rate_limit`
+    is how many requests a second it takes from all gateways together, None if it names
+    no limit.
     """
 
     is_leaving: bool = False
     pause_seconds: float = 0.0
+    rate_limit: float | None = None
 
 
 def read_advisory(head: ResponseHead, header_names: HeaderNames) -> Advisory:
@@ -35,7 +38,9 @@
     if head.status == SERVICE_UNAVAILABLE_STATUS:
         pause_seconds = parse_number(head.header("retry-after")) or 0.0
     return Advisory(
-        is_leaving=is_leaving, pause_seconds=min(pause_seconds, MAX_PAUSE_SECONDS)
+        is_leaving=is_leaving,
+        pause_seconds=min(pause_seconds, MAX_PAUSE_SECONDS),
+        rate_limit=parse_number(head.header(header_names.rate_limit)),
     )
 
 
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -176,6 +176,12 @@
             self._telemetry.record_leaving(
                 request_id=call.admitted.request_id, server=server
             )
+        if advisory.rate_limit is not None:
+            self._telemetry.record_rate_limit(
+                request_id=call.admitted.request_id,
+                server=server,
+                rate_limit=advisory.rate_limit,
+            )
         advisories.record(incarnation, advisory, now=self._clock.monotonic())
 
     def _on_response_start(self, call: Call, in_flight: InFlightRequest) -> None:
--- a/packages/gateway/eelgrassdale_gateway/headernames.py
+++ b/packages/gateway/eelgrassdale_gateway/headernames.py
@@ -49,3 +49,6 @@
 
     leaving: str
     """Set to 1 in the responses of a backend server that is about to stop."""
+
+    rate_limit: str
+    """Requests a second that a backend server takes from all gateways together."""
--- a/packages/gateway/eelgrassdale_gateway/telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/telemetry.py
@@ -129,6 +129,18 @@
             is_listed_as_leaving=server.is_leaving,
         )
 
+    def record_rate_limit(
+        self, *, request_id: str, server: BackendServer, rate_limit: float
+    ) -> None:
+        """Log that a response names a limit of the requests to its backend server."""
+        log.info(
+            "backend server names a limit",
+            request=request_id,
+            server=server.id,
+            born=server.started_at_ms,
+            per_second=rate_limit,
+        )
+
     def record_retry_refusal(self, *, request_id: str, reason: str) -> None:
         """Log why a failed attempt is not retried."""
         log.info("request not retried", request=request_id, reason=reason)
--- a/packages/gateway/eelgrassdale_gateway/tests/harness.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/harness.py
@@ -40,6 +40,7 @@
     output_tokens_hint="t-length",
     last_event_id="t-last-event",
     leaving="t-leaving",
+    rate_limit="t-limit",
 )
 ENGINE = EngineProfile(
     slots=4,
