Keep the limits of requests that servers name, as a sum over gateways

What callers and servers saw: a backend server in need that named how many requests a second it takes got three times as many and more. The class of fault is backpressure that is ignored. Change: the registry of advisories keeps the limit of each incarnation, and a rate limiter gives each gateway an equal share of it, with at most one request saved up. Gateways tell each other of a limit, of its notable changes and of its end. It ends with a response to a request that was sent after the limit was heard of and names none; refusals do not end it. In large fleets only as many gateways share a limit as keep the sum in bounds, chosen by a hash, so that all agree. A request that finds all servers limited or paused beyond its time is refused at once. Why it works: the shares of all gateways add up to the limit, and what each saved adds one request per sharing gateway. Evidence: test_limits.py failed with 52 of 100 requests at a server that named 5 a second (2 s). test_ratelimiter.py: 1 to 330 gateways, limits of 0.3 to 60 a second, bursts, a gateway that stops.

--- a/packages/gateway/eelgrassdale_gateway/advisories/exchange.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/exchange.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Collection, Iterable, Iterator
 from random import Random
 
 from eelgrassdale.clock import Clock
-from eelgrassdale_gateway.advisories.state import AdvisoryRegistry, Leaving
+from eelgrassdale_gateway.advisories.state import AdvisoryRegistry
+from eelgrassdale_gateway.advisories.statements import Leaving, RateLimit, Statement
 from eelgrassdale_gateway.broadcasting import Broadcaster
 from eelgrassdale_gateway.messages import AdvisoryNotice, ServerAdvisory, encode
 from eelgrassdale_gateway.model import Incarnation
@@ -61,7 +63,7 @@
         self._send = send
         self._is_listed_as_leaving = is_listed_as_leaving
         self._rng = Random(seed)
-        self._broadcaster: Broadcaster[Leaving] = Broadcaster(
+        self._broadcaster: Broadcaster[Statement] = Broadcaster(
             peers=peers, send=send, encode=self._encode
         )
         registry.subscribe(self._broadcaster.add)
@@ -98,38 +100,56 @@
     def handle(self, message: AdvisoryNotice) -> None:
         """Apply what a peer heard."""
         now = self._clock.monotonic()
-        for leaving in _decode(message, now):
-            self._registry.merge(leaving, now=now)
+        for statement in _decode(message, now):
+            self._registry.merge(statement, now=now)
 
-    def _untold_by_list(self) -> list[Leaving]:
-        return [x for x in self._registry.all() if not self._is_known_by_list(x)]
+    def _untold_by_list(self) -> list[Statement]:
+        known = self._registry.all(now=self._clock.monotonic())
+        return [x for x in known if not self._is_known_by_list(x)]
 
-    def _is_known_by_list(self, leaving: Leaving) -> bool:
-        return self._is_listed_as_leaving(leaving.incarnation)
+    def _is_known_by_list(self, statement: Statement) -> bool:
+        return self._is_listed_as_leaving(statement.incarnation)
 
-    def _encode(self, known: Iterable[Leaving]) -> Iterator[bytes]:
+    def _encode(self, statements: Iterable[Statement]) -> Iterator[bytes]:
         now = self._clock.monotonic()
-        entries = [_entry(leaving, now) for leaving in known]
+        entries = [_encode_statement(statement, now) for statement in statements]
         for start in range(0, len(entries), MAX_ADVISORIES_PER_DATAGRAM):
             batch = entries[start : start + MAX_ADVISORIES_PER_DATAGRAM]
             yield encode(AdvisoryNotice(advisories=batch))
 
 
-def _entry(leaving: Leaving, now: float) -> ServerAdvisory:
-    server, started_at_ms = leaving.incarnation
-    return ServerAdvisory(
+def _encode_statement(statement: Statement, now: float) -> ServerAdvisory:
+    server, started_at_ms = statement.incarnation
+    entry = ServerAdvisory(
         server=server,
         started_at_ms=started_at_ms,
-        is_leaving=True,
-        age_ms=min(MAX_AGE_MS, max(0, round((now - leaving.heard_at) * 1000))),
+        age_ms=min(MAX_AGE_MS, max(0, round((now - statement.heard_at) * 1000))),
     )
+    match statement:
+        case Leaving():
+            entry.is_leaving = True
+        case RateLimit(per_second=per_second):
+            entry.is_limited = per_second is not None
+            entry.rate_limit = per_second or 0.0
+    return entry
 
 
-def _decode(message: AdvisoryNotice, now: float) -> Iterator[Leaving]:
+def _decode(message: AdvisoryNotice, now: float) -> Iterator[Statement]:
     """Yield the valid statements of a message."""
     for entry in (message.advisories or ())[:MAX_ADVISORIES_PER_DATAGRAM]:
-        if entry.server and entry.is_leaving:
-            yield Leaving(
-                incarnation=(entry.server, entry.started_at_ms or 0),
-                heard_at=now - (entry.age_ms or 0) / 1000,
+        if not entry.server:
+            continue
+        incarnation = (entry.server, entry.started_at_ms or 0)
+        heard_at = now - (entry.age_ms or 0) / 1000
+        if entry.is_leaving:
+            yield Leaving(incarnation=incarnation, heard_at=heard_at)
+        elif entry.is_limited is not None and _is_valid_rate(entry.rate_limit):
+            yield RateLimit(
+                incarnation=incarnation,
+                per_second=entry.rate_limit if entry.is_limited else None,
+                heard_at=heard_at,
             )
+
+
+def _is_valid_rate(rate: float | None) -> bool:
+    return rate is not None and math.isfinite(rate) and rate >= 0
--- a/packages/gateway/eelgrassdale_gateway/advisories/reading.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/reading.py
@@ -20,12 +20,13 @@
     `is_leaving` is true if the server is about to stop and wants no new requests.
     `pause_seconds` is for how long it wants no requests from this gateway. `rate_limit`
     is how many requests a second it takes from all gateways together, None if it names
-    no limit.
+    no limit. `is_refusal` is true if it did not run the request.
     """
 
     is_leaving: bool = False
     pause_seconds: float = 0.0
     rate_limit: float | None = None
+    is_refusal: bool = False
 
 
 def read_advisory(head: ResponseHead, header_names: HeaderNames) -> Advisory:
@@ -41,6 +42,7 @@
         is_leaving=is_leaving,
         pause_seconds=min(pause_seconds, MAX_PAUSE_SECONDS),
         rate_limit=parse_number(head.header(header_names.rate_limit)),
+        is_refusal=bool(head.header(header_names.not_run)),
     )
 
 
--- a/packages/gateway/eelgrassdale_gateway/advisories/tests/test_exchange.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/tests/test_exchange.py
@@ -56,9 +56,14 @@
         if self._rng.random() >= self._loss:
             self.exchanges[address].handle(decode(data))
 
-    def hear(self, number, server):
+    def hear(self, number, server, advisory=LEAVING):
         registry = list(self.registries.values())[number]
-        registry.record(server, LEAVING, now=self.clock.monotonic())
+        now = self.clock.monotonic()
+        registry.record(server, advisory, sent_at=now, now=now)
+
+    def limits(self, server):
+        now = self.clock.monotonic()
+        return {r.rate_limit(server, now=now) for r in self.registries.values()}
 
     def run(self, *, intervals, with_samples=False):
         for _ in range(intervals):
@@ -126,10 +131,40 @@
     assert network.sizes[0] < 64 * MAX_ADVISORIES_PER_DATAGRAM
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_limits_and_their_ends_reach_all_gateways(seed):
+    """Guards against a limit that stays at gateways which send the server nothing."""
+    network = Network(count=9, loss=0.4, seed=seed)
+    network.hear(0, SERVER, Advisory(rate_limit=3.5))
+    network.run(intervals=40, with_samples=True)
+    assert network.limits(SERVER) == {3.5}
+    network.hear(4, SERVER, Advisory())
+    network.run(intervals=40, with_samples=True)
+    assert network.limits(SERVER) == {None}
+
+
+def test_server_that_names_a_slightly_different_limit_each_time_costs_few_datagrams():
+    """Guards against news of each response to all gateways."""
+    network = Network(count=4)
+    for number in range(100):
+        network.hear(0, SERVER, Advisory(rate_limit=4.0 + 0.01 * (number % 10)))
+        network.run(intervals=1)
+    assert len(network.sizes) == 3 * 3
+
+
+@pytest.mark.parametrize("rate", [float("nan"), float("inf"), -1.0])
+def test_invalid_limits_of_others_are_dropped(rate):
+    network = Network(count=1)
+    entry = ServerAdvisory(server="s", is_limited=True, rate_limit=rate, age_ms=0)
+    notice = decode(encode(AdvisoryNotice(advisories=[entry])))
+    network.exchanges[("10.0.0.1", 0)].handle(notice)
+    assert network.registries[("10.0.0.1", 0)].all(now=0.0) == []
+
+
 def test_malformed_advisories_are_dropped():
     network = Network(count=1)
     exchange = network.exchanges[("10.0.0.1", 0)]
     entries = [ServerAdvisory(), ServerAdvisory(server="s", is_leaving=False)]
     exchange.handle(decode(encode(AdvisoryNotice(advisories=entries))))
     exchange.handle(decode(encode(AdvisoryNotice())))
-    assert network.registries[("10.0.0.1", 0)].all() == []
+    assert network.registries[("10.0.0.1", 0)].all(now=0.0) == []
--- a/packages/gateway/eelgrassdale_gateway/candidates.py
+++ b/packages/gateway/eelgrassdale_gateway/candidates.py
@@ -25,8 +25,8 @@
     `has_servers` is true if any server may run the requests, now or soon. `usable`
     are the ids of the servers that accept requests and hold a version that may
     serve, `candidates` those of them that may get one more request now, by id.
-    `resumes_at` is when the first of them takes requests again, if all that could be
-    usable want none for a while.
+    `resumes_at` is when the first server takes a request again, if there is one and all
+    take none now.
     """
 
     service: Service
--- a/packages/gateway/eelgrassdale_gateway/eligibility.py
+++ b/packages/gateway/eelgrassdale_gateway/eligibility.py
@@ -2,7 +2,7 @@
 
 A server may be excluded because it leaves, its data centre is out of service, its
 region is not allowed, it holds no version that may serve, it wants no requests for a
-while, or its rate is limited while it is cold or just became available.
+while, or its rate is limited by itself, while it is cold or just became available.
 """
 
 from collections import defaultdict, deque
@@ -11,7 +11,7 @@
 from attrs import frozen
 
 from eelgrassdale.clock import Clock
-from eelgrassdale_gateway.advisories import AdvisoryRegistry
+from eelgrassdale_gateway.advisories import AdvisoryRegistry, RateLimiter
 from eelgrassdale_gateway.availability import AvailabilityTracker
 from eelgrassdale_gateway.candidates import CandidateGroup
 from eelgrassdale_gateway.health import HealthTracker
@@ -67,6 +67,7 @@
         self._routing_state = routing_state
         self._data_centre = data_centre
         self._gateway_group = gateway_group
+        self._rate_limiter = RateLimiter(gateway_group=gateway_group)
         self._availability = AvailabilityTracker()
         self._cold_send_times: dict[str, deque[float]] = defaultdict(deque)
         # Servers that leave are left out.
@@ -82,30 +83,31 @@
         self.notices.retain({server.address for server in servers.values()}, now=now)
         for server_id in self._cold_send_times.keys() - servers.keys():
             del self._cold_send_times[server_id]
-        self.advisories.retain(
-            {server.incarnation for server in servers.values()}, now=now
-        )
+        incarnations = {server.incarnation for server in servers.values()}
+        self.advisories.retain(incarnations, now=now)
+        self._rate_limiter.retain(incarnations)
         self._group_staying_servers()
 
     def group(self, waiter: Waiter, service: Service, moment: Moment) -> CandidateGroup:
         """Return the candidates for requests like this one."""
         in_service = self._servers_in_service(waiter)
         accepting = self._accepting_servers(in_service, waiter.model, moment.now)
-        paused_until = {
-            server.id: self.advisories.paused_until(server.incarnation)
-            for server in accepting
-        }
-        usable = [s for s in accepting if paused_until[s.id] <= moment.now]
+        resume_times = self._resume_times(accepting, moment.now)
+        usable = [s for s in accepting if s.id not in resume_times]
         candidates = {
             server.id: candidate
             for server in usable
-            if (candidate := self.candidate(server, service, moment))
+            if (candidate := self._candidate(server, service, moment))
         }
         return CandidateGroup(
             service=service,
             has_servers=bool(in_service),
             usable=frozenset(server.id for server in usable),
-            resumes_at=min(paused_until.values(), default=float("-inf")),
+            resumes_at=(
+                min(resume_times.values())
+                if resume_times and not usable
+                else float("-inf")
+            ),
             candidates=candidates,
         )
 
@@ -113,6 +115,13 @@
         self, server: BackendServer, service: Service, moment: Moment
     ) -> Candidate | None:
         """Return a server with its load, or None if it may get no request now."""
+        if self._resume_times([server], moment.now):
+            return None
+        return self._candidate(server, service, moment)
+
+    def _candidate(
+        self, server: BackendServer, service: Service, moment: Moment
+    ) -> Candidate | None:
         now = moment.now
         if not self._may_send_to_cold(server, service, now):
             return None
@@ -129,6 +138,7 @@
 
     def record_send(self, server: BackendServer, *, now: float) -> None:
         """Count a request against the limits of its backend server."""
+        self._rate_limiter.record_send(server.incarnation, now=now)
         if now < server.cold_until:
             self._cold_send_times[server.id].append(now)
 
@@ -181,6 +191,35 @@
         )
         return accepting
 
+    def _resume_times(
+        self, servers: list[BackendServer], now: float
+    ) -> dict[str, float]:
+        """Return when the servers take a request again that take none now, by id."""
+        if not self.advisories.has_restrictions:
+            return {}
+        return {
+            server.id: resumes_at
+            for server in servers
+            if (resumes_at := self._resumes_at(server, now)) > now
+        }
+
+    def _resumes_at(self, server: BackendServer, now: float) -> float:
+        """Return when a server takes the next request of this gateway.
+
+        It is `now` or earlier unless the server said that it wants none for a while, or
+        so few that this gateway's share is used up.
+        """
+        incarnation = server.incarnation
+        resumes_at = self.advisories.paused_until(incarnation)
+        rate = self.advisories.rate_limit(incarnation, now=now)
+        if rate is None:
+            self._rate_limiter.forget(incarnation)
+            return resumes_at
+        return max(
+            resumes_at,
+            self._rate_limiter.next_send_at(incarnation, rate=rate, now=now),
+        )
+
     def _may_send_to_newly_available(
         self, server: BackendServer, service: Service, now: float
     ) -> bool:
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -149,7 +149,7 @@
                 server,
                 AttemptObserver(
                     on_advisory=lambda advisory: self._on_advisory(
-                        call, server, advisory
+                        call, server, advisory, sent_at=now
                     ),
                     on_head=lambda: self._on_response_start(call, in_flight),
                     on_first_event=lambda: self._quarantine.record_start(
@@ -168,21 +168,27 @@
         return outcome, server
 
     def _on_advisory(
-        self, call: Call, server: BackendServer, advisory: Advisory
+        self,
+        call: Call,
+        server: BackendServer,
+        advisory: Advisory,
+        *,
+        sent_at: float,
     ) -> None:
         advisories = self._dispatcher.advisories
         incarnation = server.incarnation
-        if advisory.is_leaving and not advisories.is_leaving(incarnation):
-            self._telemetry.record_leaving(
-                request_id=call.admitted.request_id, server=server
-            )
-        if advisory.rate_limit is not None:
+        now = self._clock.monotonic()
+        was_leaving = advisories.is_leaving(incarnation)
+        limit_before = advisories.rate_limit(incarnation, now=now)
+        advisories.record(incarnation, advisory, sent_at=sent_at, now=now)
+        request_id = call.admitted.request_id
+        if advisories.is_leaving(incarnation) and not was_leaving:
+            self._telemetry.record_leaving(request_id=request_id, server=server)
+        limit = advisories.rate_limit(incarnation, now=now)
+        if limit != limit_before:
             self._telemetry.record_rate_limit(
-                request_id=call.admitted.request_id,
-                server=server,
-                rate_limit=advisory.rate_limit,
+                request_id=request_id, server=server, rate_limit=limit
             )
-        advisories.record(incarnation, advisory, now=self._clock.monotonic())
 
     def _on_response_start(self, call: Call, in_flight: InFlightRequest) -> None:
         self._dispatcher.record_response_start(in_flight)
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -83,6 +83,10 @@
     2: i64 started_at_ms
     3: bool is_leaving
     4: i32 age_ms
+    // Set if the entry says whether the server names a limit.
+    5: optional bool is_limited
+    // Requests a second that it takes from all gateways together, if it is limited.
+    6: optional double rate_limit
 }
 
 struct AdvisoryNotice {
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -142,7 +142,14 @@
         self.telemetry.gauge(
             "leaving_servers",
             "Backend servers that said in a response that they leave.",
-            lambda: len(self.dispatcher.advisories.all()),
+            self.dispatcher.advisories.leaving_count,
+        )
+        self.telemetry.gauge(
+            "limited_servers",
+            "Backend servers that name a limit of requests.",
+            lambda: self.dispatcher.advisories.limited_count(
+                now=self._clock.monotonic()
+            ),
         )
         self._retry_budgets = RetryBudgets(
             ratio=cfg.retry_ratio,
--- a/packages/gateway/eelgrassdale_gateway/shares.py
+++ b/packages/gateway/eelgrassdale_gateway/shares.py
@@ -75,6 +75,30 @@
     return 1.0 if gateway_group.own_name in chosen_members else 0.0
 
 
+def equal_share(
+    rate: float, *, resource: str, gateway_group: GatewayGroup, max_members: int
+) -> float:
+    """Return this gateway's share of a rate that at most `max_members` divide equally.
+
+    It is 0 for the other gateways. The members are chosen by a hash of the resource's
+    name, so that all gateways agree on them.
+
+    Examples
+    --------
+    >>> members = frozenset("abc")
+    >>> groups = [GatewayGroup(own_name=name, members=members) for name in "abc"]
+    >>> sorted(
+    ...     equal_share(3.0, resource="s-1", gateway_group=group, max_members=2)
+    ...     for group in groups
+    ... )
+    [0.0, 1.5, 1.5]
+
+    """
+    count = min(gateway_group.count, max(1, max_members))
+    chosen_members = _chosen_members(resource, gateway_group.members, count)
+    return rate / count if gateway_group.own_name in chosen_members else 0.0
+
+
 def share_of_count(count: int, *, resource: str, gateway_group: GatewayGroup) -> int:
     """Return this gateway's share of a number of units at one resource.
 
--- a/packages/gateway/eelgrassdale_gateway/telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/telemetry.py
@@ -130,9 +130,9 @@
         )
 
     def record_rate_limit(
-        self, *, request_id: str, server: BackendServer, rate_limit: float
+        self, *, request_id: str, server: BackendServer, rate_limit: float | None
     ) -> None:
-        """Log that a response names a limit of the requests to its backend server."""
+        """Log that a response names another limit, or None any more."""
         log.info(
             "backend server names a limit",
             request=request_id,
