Answer each request before the end of a planned stop

Reported by another operator: in the planned stop of one gateway, requests that came late in the grace were passed on and cut without an answer at its end, among them some that may run once only. It can happen here: until 3.5 s after the signal requests were taken however long they might last, and what still ran at the exit had its connection closed. What still runs shortly before the exit gets 504, or 503 if it was never sent; a stream that has begun is cut.

--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -7,7 +7,7 @@
 from eelgrassdale.clock import Clock
 from eelgrassdale.http1 import Exchange
 from eelgrassdale.results import ResultCode, ResultError, info_of
-from eelgrassdale_gateway.admission import admit
+from eelgrassdale_gateway.admission import AdmittedRequest, admit
 from eelgrassdale_gateway.advisories import Advisory
 from eelgrassdale_gateway.attempts import AttemptObserver, AttemptRunner
 from eelgrassdale_gateway.calls import Call
@@ -32,6 +32,7 @@
 from eelgrassdale_gateway.responses import response_headers
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.routingstate import RoutingState
+from eelgrassdale_gateway.stopschedule import StopSchedule
 from eelgrassdale_gateway.telemetry import RequestTelemetry
 
 # Sends of one request after which further refusals are not retried.
@@ -64,6 +65,16 @@
         self._retry_budgets = retry_budgets
         self._header_names = header_names
         self._rng = Random(seed)
+        self._stop_schedule: StopSchedule | None = None
+        self._time_limits: set[asyncio.Timeout] = set()
+
+    def start_stopping(self, schedule: StopSchedule) -> None:
+        """Take requests as the schedule says, and end the present ones with it."""
+        self._stop_schedule = schedule
+        remaining_seconds = schedule.ends_at - self._clock.monotonic()
+        ends_at = asyncio.get_running_loop().time() + remaining_seconds
+        for limit in self._time_limits:
+            limit.reschedule(min(ends_at, limit.when()))
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request until its response has been sent."""
@@ -80,6 +91,9 @@
         if admitted.is_error():
             await self._send_error(exchange, admitted.error)
             return
+        if not self._admits(admitted.ok):
+            await self._send_error(exchange, ResultCode.LEAVING)
+            return
         call = Call(
             admitted=admitted.ok,
             exchange=exchange,
@@ -87,10 +101,7 @@
         )
         self._retry_budgets.add_request(call.admitted.service)
         try:
-            async with asyncio.timeout(
-                call.admitted.expires_at - self._clock.monotonic()
-            ):
-                await self._run_attempts(call)
+            await self._run_within_time_limit(call)
         except TimeoutError:
             await self._on_timeout(call)
         except (asyncio.CancelledError, ConnectionError):
@@ -99,9 +110,23 @@
         finally:
             call.response_memory.release()
 
-    async def refuse_for_shutdown(self, exchange: Exchange) -> None:
-        """Refuse a request because this gateway is shutting down."""
-        await self._send_error(exchange, ResultCode.LEAVING)
+    def _admits(self, admitted: AdmittedRequest) -> bool:
+        """Return whether a request can still end before this gateway stops."""
+        return self._stop_schedule is None or self._stop_schedule.admits(
+            now=self._clock.monotonic(), expires_at=admitted.expires_at
+        )
+
+    async def _run_within_time_limit(self, call: Call) -> None:
+        """Run the attempts; raises `TimeoutError` when the time of the call is up."""
+        ends_at = call.admitted.expires_at
+        if self._stop_schedule is not None:
+            ends_at = min(ends_at, self._stop_schedule.ends_at)
+        async with asyncio.timeout(ends_at - self._clock.monotonic()) as limit:
+            self._time_limits.add(limit)
+            try:
+                await self._run_attempts(call)
+            finally:
+                self._time_limits.discard(limit)
 
     async def _run_attempts(self, call: Call) -> None:
         excluded: frozenset[str] = frozenset()
@@ -281,11 +306,19 @@
             await self._send_error(call.exchange, code, call)
 
     async def _on_timeout(self, call: Call) -> None:
+        is_cut_by_stop = (
+            self._stop_schedule is not None
+            and self._clock.monotonic() < call.admitted.expires_at
+        )
         if call.exchange.is_started:
-            self._record_end(call, ResultCode.DEADLINE_EXCEEDED)
+            self._record_end(
+                call, ResultCode.DEADLINE_EXCEEDED, is_cut_by_stop=is_cut_by_stop
+            )
             call.exchange.abort()
         elif call.may_have_run:
             await self._send_error(call.exchange, ResultCode.DEADLINE_EXCEEDED, call)
+        elif is_cut_by_stop:
+            await self._send_error(call.exchange, ResultCode.LEAVING, call)
         else:
             await self._send_error(call.exchange, ResultCode.SERVER_BUSY, call)
 
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -40,6 +40,7 @@
     WeightsDistribution,
     WeightsOrigin,
 )
+from eelgrassdale_gateway.stopschedule import StopSchedule
 from eelgrassdale_gateway.telemetry import RequestTelemetry
 
 # A backend server in another region is 4 ms away. A lost SYN packet is retransmitted
@@ -50,9 +51,8 @@
 MIN_DRAIN_SECONDS = 2.0
 # Reserve at the end of the time that the platform gives a process to stop.
 EXIT_MARGIN_SECONDS = 1.2
-# Requests arriving later than this in a shutdown are refused, so that earlier ones
-# can finish.
-ADMISSION_CUTOFF_SECONDS = 3.5
+# Time for the last responses to be sent.
+RESPONSE_MARGIN_SECONDS = 0.1
 DRAIN_POLL_SECONDS = 0.05
 
 log = structlog.get_logger(__name__)
@@ -171,7 +171,7 @@
             telemetry=self.telemetry,
         )
         self.server = HttpServer(
-            handler=self._handle,
+            handler=self.forwarder.handle,
             limits=self._caller_limits,
             body_memory=ByteBudget(limit=cfg.body_memory_bytes),
         )
@@ -193,7 +193,6 @@
             gateways=self._all_gateway_endpoints,
         )
         self._peer_server = HttpServer(handler=self._handle_peer)
-        self._refuses_requests = False
 
     def mirror_store(
         self,
@@ -305,11 +304,17 @@
         self.is_stopping = True
         self.server.start_draining()
         self.peers.leave()
-        exit_at = stop_started_at + self.cfg.stop_seconds - EXIT_MARGIN_SECONDS
+        seconds = self.cfg.stop_seconds - EXIT_MARGIN_SECONDS
+        exit_at = stop_started_at + seconds
+        now = self._clock.monotonic()
+        self.forwarder.start_stopping(
+            StopSchedule(
+                started_at=now, ends_at=now + seconds - RESPONSE_MARGIN_SECONDS
+            )
+        )
         log.info("stopping", handling=self.server.active_requests)
         while loop.time() < exit_at:
             elapsed_seconds = loop.time() - stop_started_at
-            self._refuses_requests = elapsed_seconds > ADMISSION_CUTOFF_SECONDS
             if elapsed_seconds > MIN_DRAIN_SECONDS and not self.server.active_requests:
                 break
             await asyncio.sleep(DRAIN_POLL_SECONDS)
@@ -318,12 +323,6 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         log.info("stopped", handling=self.server.active_requests)
 
-    async def _handle(self, exchange: Exchange) -> None:
-        if self._refuses_requests:
-            await self.forwarder.refuse_for_shutdown(exchange)
-            return
-        await self.forwarder.handle(exchange)
-
     def _on_new_gateway(self, address: Address) -> None:
         """Tell a gateway that has just started what it cannot know yet."""
         self._quarantine_exchange.send_states(address)
