--- a/packages/gateway/eelgrassdale_gateway/tests/test_telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_telemetry.py
@@ -8,8 +8,10 @@
 import pytest
 from structlog.testing import capture_logs
 
+from eelgrassdale.clock import SystemClock
 from eelgrassdale.http1 import ExchangeFailed, Request, connect
 from eelgrassdale.results import ResultCode
+from eelgrassdale_gateway.stopschedule import StopSchedule
 from eelgrassdale_gateway.tests.harness import (
     ScriptedBackend,
     reply_with,
@@ -43,7 +45,9 @@
 
 async def send_while_stopping(harness):
     await harness.start("plain", ScriptedBackend(reply=reply_with(signed_response)))
-    harness.server.handler = harness.forwarder.refuse_for_shutdown
+    now = SystemClock().monotonic()
+    schedule = StopSchedule(started_at=now - 10.0, ends_at=now + 0.1)
+    harness.forwarder.start_stopping(schedule)
     await harness.send_request("/unsafe/")
 
 
