--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -4,6 +4,8 @@
 
 from eelgrassdale.http1 import Exchange, Reservation
 from eelgrassdale_gateway.admission import AdmittedRequest
+from eelgrassdale_gateway.model import EngineProfile
+from eelgrassdale_gateway.queueing import Waiter
 
 
 @define(kw_only=True, eq=False)
@@ -40,3 +42,35 @@
         """Forget the response to the attempt before."""
         self.attempt_has_head = False
         self.attempt_event_count = 0
+
+
+def make_waiter(
+    call: Call, excluded: frozenset[str], engine: EngineProfile | None
+) -> Waiter:
+    """Return the queue entry for the first attempt or for a retry.
+
+    A stream that has begun must continue within its longest allowed pause. The
+    next engine reads the tokens generated so far in addition to the prompt.
+    """
+    admitted = call.admitted
+    regions = admitted.regions
+    waiting_since = admitted.arrived_at
+    objective_at = waiting_since + admitted.route.objective_seconds
+    generated_tokens = 0
+    if call.event_count:
+        waiting_since = call.last_event_at
+        objective_at = waiting_since + admitted.route.max_event_gap_seconds
+        generated_tokens = call.event_count * (engine.steps_per_event if engine else 1)
+    return Waiter(
+        service=admitted.service if regions is not None else "",
+        model=admitted.model,
+        tokens=admitted.prompt_tokens + generated_tokens,
+        output_tokens=max(0, admitted.output_tokens - generated_tokens),
+        priority=admitted.priority,
+        regions=regions or frozenset(),
+        prompt_parts=admitted.quarantine_parts,
+        excluded=excluded,
+        arrived_at=waiting_since,
+        objective_at=objective_at,
+        expires_at=admitted.expires_at,
+    )
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -10,11 +10,11 @@
 from eelgrassdale_gateway.admission import AdmittedRequest, admit
 from eelgrassdale_gateway.advisories import Advisory
 from eelgrassdale_gateway.attempts import AttemptObserver, AttemptRunner
-from eelgrassdale_gateway.calls import Call
+from eelgrassdale_gateway.calls import Call, make_waiter
 from eelgrassdale_gateway.dispatcher import Dispatcher, PlacementRefused
 from eelgrassdale_gateway.headernames import HeaderNames
 from eelgrassdale_gateway.loads import InFlightRequest
-from eelgrassdale_gateway.model import BackendServer, EngineProfile
+from eelgrassdale_gateway.model import BackendServer
 from eelgrassdale_gateway.outcomes import (
     Answered,
     Lost,
@@ -25,18 +25,20 @@
 )
 from eelgrassdale_gateway.queueing import (
     MIN_RETRY_AFTER_SECONDS,
-    Waiter,
     is_late,
     retry_after_seconds,
 )
 from eelgrassdale_gateway.responses import response_headers
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
+from eelgrassdale_gateway.retryrules import (
+    has_ended_its_server,
+    result_code,
+    retry_refusal_reason,
+)
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.stopschedule import StopSchedule
 from eelgrassdale_gateway.telemetry import RequestTelemetry
 
-# Sends of one request after which further refusals are not retried.
-MAX_SENDS = 4
 # Statuses by which a caller concludes that its request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -147,7 +149,7 @@
                     await self._send_response(call, outcome)
                     return
             if not self._may_retry(call, outcome):
-                await self._end_without_retry(call, _result_code(outcome), response)
+                await self._end_without_retry(call, result_code(outcome), response)
                 return
             excluded |= {server.id}
 
@@ -155,7 +157,7 @@
         self, call: Call, excluded: frozenset[str]
     ) -> tuple[Outcome, BackendServer]:
         service = self._routing_state.table.services.get(call.admitted.service)
-        waiter = _make_waiter(call, excluded, service.engine if service else None)
+        waiter = make_waiter(call, excluded, service.engine if service else None)
         placement, in_flight = await self._dispatcher.place(waiter)
         server = placement.server
         admitted = call.admitted
@@ -187,7 +189,7 @@
             self._dispatcher.record_end(in_flight)
         if not isinstance(outcome, NotRun):
             call.run_count += 1
-        if _has_ended_its_server(call, outcome):
+        if has_ended_its_server(call, outcome):
             self._record_crash(call, server)
         self._record_outcome(call, server, outcome)
         return outcome, server
@@ -263,8 +265,8 @@
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
         if isinstance(outcome, NotRun) and not outcome.was_sent:
             return True
-        reason = _retry_refusal_reason(call, outcome)
-        if _has_ended_its_server(call, outcome) and self._quarantine.is_suspect(
+        reason = retry_refusal_reason(call, outcome)
+        if has_ended_its_server(call, outcome) and self._quarantine.is_suspect(
             call.admitted.quarantine_parts
         ):
             reason = "may have ended its backend server"
@@ -368,68 +370,3 @@
             events=call.last_event_id,
             **fields,
         )
-
-
-def _make_waiter(
-    call: Call, excluded: frozenset[str], engine: EngineProfile | None
-) -> Waiter:
-    """Return the queue entry for the first attempt or for a retry.
-
-    A stream that has begun must continue within its longest allowed pause. The
-    next engine reads the tokens generated so far in addition to the prompt.
-    """
-    admitted = call.admitted
-    regions = admitted.regions
-    waiting_since = admitted.arrived_at
-    objective_at = waiting_since + admitted.route.objective_seconds
-    generated_tokens = 0
-    if call.event_count:
-        waiting_since = call.last_event_at
-        objective_at = waiting_since + admitted.route.max_event_gap_seconds
-        generated_tokens = call.event_count * (engine.steps_per_event if engine else 1)
-    return Waiter(
-        service=admitted.service if regions is not None else "",
-        model=admitted.model,
-        tokens=admitted.prompt_tokens + generated_tokens,
-        output_tokens=max(0, admitted.output_tokens - generated_tokens),
-        priority=admitted.priority,
-        regions=regions or frozenset(),
-        prompt_parts=admitted.quarantine_parts,
-        excluded=excluded,
-        arrived_at=waiting_since,
-        objective_at=objective_at,
-        expires_at=admitted.expires_at,
-    )
-
-
-def _retry_refusal_reason(call: Call, outcome: Outcome) -> str:
-    """Return why a failed attempt may not be retried; empty if it may."""
-    if isinstance(outcome, NotRun):
-        return "" if call.send_count < MAX_SENDS else "maximum number of sends reached"
-    if not call.is_idempotent:
-        return "may have run"
-    if call.run_count >= call.admitted.route.max_attempts:
-        return "maximum number of attempts of the route reached"
-    if call.exchange.is_started and not call.admitted.route.is_resumable:
-        return "response has already started"
-    return ""
-
-
-def _has_ended_its_server(call: Call, outcome: Outcome) -> bool:
-    """Return whether the server's connection ended as it began to answer.
-
-    A server that ends under a request does so before the first event. Requests that
-    are merely running there had events before, or no head yet.
-    """
-    return (
-        isinstance(outcome, Lost)
-        and outcome.is_disconnected
-        and call.attempt_has_head
-        and not call.attempt_event_count
-    )
-
-
-def _result_code(outcome: Outcome) -> ResultCode:
-    if isinstance(outcome, NotRun):
-        return ResultCode.SERVER_BUSY
-    return ResultCode.BACKEND_FAILED
