--- a/packages/measures/eelgrassdale_measures/dispatch_cost.py
+++ b/packages/measures/eelgrassdale_measures/dispatch_cost.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+import itertools
 import time
 from collections.abc import Iterable
 
 from attrs import frozen
 
 from eelgrassdale.clock import ManualClock
+from eelgrassdale_gateway.advisories import Advisory
 from eelgrassdale_gateway.dispatcher import Dispatcher
 from eelgrassdale_gateway.loads import Load
 from eelgrassdale_gateway.model import (
@@ -28,6 +30,8 @@
 # Servers in one report: a peer has requests in flight at few of them.
 SERVERS_PER_REPORT = 10
 EVENT_COUNT = 20
+# Requests a second that each server names, where all are limited.
+LIMIT = 3.0
 ENGINE = EngineProfile(
     slots=SLOTS,
     prefill_tokens_per_second=13_800.0,
@@ -53,10 +57,11 @@
 
 
 def run() -> Iterable[dict[str, object]]:
-    """Yield one line for each fleet size."""
-    for size in SIZES:
-        seconds = asyncio.run(_seconds_per_event(size))
+    """Yield two lines for each fleet size, without and with limits of servers."""
+    for size, is_limited in itertools.product(SIZES, (False, True)):
+        seconds = asyncio.run(_seconds_per_event(size, is_limited=is_limited))
         yield {
+            "is_limited": is_limited,
             "gateways": size.gateways,
             "servers": size.servers,
             "waiting": size.waiting,
@@ -64,9 +69,14 @@
         }
 
 
-async def _seconds_per_event(size: FleetSize) -> float:
+async def _seconds_per_event(size: FleetSize, *, is_limited: bool) -> float:
     clock = ManualClock()
     dispatcher = _full_fleet(size, clock)
+    if is_limited:
+        for number in range(size.servers):
+            dispatcher.advisories.record(
+                (f"s-{number}", 0), Advisory(rate_limit=LIMIT), sent_at=0.0, now=0.0
+            )
     place_all = [
         asyncio.ensure_future(dispatcher.place(_waiter(clock)))
         for _ in range(size.waiting)
