Fail a read after its connection was closed by this process

A handler that finishes in the moment in which its connection is aborted goes on to the next request, while the cancelled read has not ended yet. A closed receiver now raises ConnectionAbortedError.

--- a/packages/core/eelgrassdale/http1/receiving.py
+++ b/packages/core/eelgrassdale/http1/receiving.py
@@ -16,6 +16,7 @@
     def __init__(self, *, reader: asyncio.StreamReader) -> None:
         self._reader = reader
         self._read: asyncio.Task[bytes] | None = None
+        self._is_cancelled = False
 
     def pending_read(self) -> "asyncio.Task[bytes]":
         """Return the read in progress, started if there is none."""
@@ -31,8 +32,9 @@
         TimeoutError
             If no byte arrived for `timeout` seconds.
         OSError
-            If the connection was reset.
+            If the connection was reset, or its reads were cancelled.
         """
+        self._require_open()
         if self._read is None:
             # No read is in progress, so the stream is read without a task.
             async with asyncio.timeout(timeout):
@@ -41,10 +43,7 @@
         done, _ = await asyncio.wait((read,), timeout=timeout)
         if not done:
             raise TimeoutError
-        if self._read is not read:
-            raise ConnectionAbortedError(
-                "connection closed by this process during a read"
-            )
+        self._require_open()
         return self.take_result()
 
     def take_result(self) -> bytes:
@@ -53,12 +52,17 @@
         return read.result()
 
     def cancel_read(self) -> None:
-        """Cancel the read in progress, if any."""
+        """Cancel the read in progress, if any, as the connection is closed."""
+        self._is_cancelled = True
         if self._read is not None:
             self._read.cancel()
             self._read.add_done_callback(_ignore_result)
             self._read = None
 
+    def _require_open(self) -> None:
+        if self._is_cancelled:
+            raise ConnectionAbortedError("connection closed by this process")
+
 
 def _ignore_result(read: "asyncio.Task[bytes]") -> None:
     if not read.cancelled():
