Begin a stop also while the time of a request runs out

Found on reading the diff: the stop shortens the time limits of the requests that run, and asyncio refuses that with a RuntimeError for a limit that has just passed, whose request has not ended yet. The stop would then have failed as a whole. Such a limit is left alone now. The new test blocks the loop until both timers are due in one turn, and fails without the check.

--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -76,7 +76,8 @@
         remaining_seconds = schedule.ends_at - self._clock.monotonic()
         ends_at = asyncio.get_running_loop().time() + remaining_seconds
         for limit in self._time_limits:
-            limit.reschedule(min(ends_at, limit.when()))
+            if not limit.expired():
+                limit.reschedule(min(ends_at, limit.when()))
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one request until its response has been sent."""
--- a/packages/gateway/eelgrassdale_gateway/tests/test_forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_forwarding.py
@@ -1,10 +1,13 @@
 """Tests of forwarding to backend servers that fail in various ways."""
 
 import asyncio
+import time
 
 import pytest
 
+from eelgrassdale.clock import SystemClock
 from eelgrassdale.http1 import ExchangeFailed, Request, connect
+from eelgrassdale_gateway.stopschedule import StopSchedule
 from eelgrassdale_gateway.tests.harness import (
     TIMEOUT_SECONDS,
     ScriptedBackend,
@@ -343,3 +346,33 @@
         return head.status, backend.received
 
     assert run_scenario(scenario) == (503, [])
+
+
+def test_stop_that_begins_as_the_time_of_a_request_is_up_goes_on():
+    """Guards against a stop that fails on a request which is being ended already."""
+
+    async def scenario(harness):
+        async def no_reply(_req, _writer):
+            await asyncio.sleep(TIMEOUT_SECONDS)
+
+        await harness.start("plain", ScriptedBackend(reply=no_reply))
+        errors = []
+
+        def begin_stop():
+            now = SystemClock().monotonic()
+            schedule = StopSchedule(started_at=now, ends_at=now + 1.0)
+            try:
+                harness.forwarder.start_stopping(schedule)
+            except RuntimeError as exc:
+                errors.append(exc)
+
+        loop = asyncio.get_running_loop()
+        request = asyncio.ensure_future(harness.send_request("/unsafe/", seconds=0.3))
+        await asyncio.sleep(0.1)
+        loop.call_later(0.4, begin_stop)
+        # Both timers are due in the same turn of the loop.
+        time.sleep(0.6)
+        head, _ = await request
+        return head.status, errors
+
+    assert run_scenario(scenario) == (504, [])
