Tell refused callers of limited servers a time that they can use

A gateway without a share of a limit knew no time at which it may send, and answered with an infinite Retry-After. And a caller refused because the queue was full was told the next moment at which one request may be sent, although others wait for it too. The time is now the usual one of a refusal, or that at which a server takes requests again, if that is known and later. Evidence: test_limits.py, whose new case fails without the change with Retry-After: inf.

--- a/packages/gateway/eelgrassdale_gateway/advisories/exchange.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/exchange.py
@@ -140,7 +140,7 @@
         if not entry.server:
             continue
         incarnation = (entry.server, entry.started_at_ms or 0)
-        heard_at = now - (entry.age_ms or 0) / 1000
+        heard_at = now - max(0, entry.age_ms or 0) / 1000
         if entry.is_leaving:
             yield Leaving(incarnation=incarnation, heard_at=heard_at)
         elif entry.is_limited is not None and _is_valid_rate(entry.rate_limit):
--- a/packages/gateway/eelgrassdale_gateway/advisories/state.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/state.py
@@ -72,10 +72,10 @@
     Examples
     --------
     >>> registry = AdvisoryRegistry()
-    >>> registry.record(("s-1", 1), Advisory(is_leaving=True), sent_at=0.0, now=0.1)
+    >>> _ = registry.record(("s-1", 1), Advisory(is_leaving=True), sent_at=0.0, now=0.1)
     >>> registry.is_leaving(("s-1", 1)), registry.is_leaving(("s-1", 2))
     (True, False)
-    >>> registry.record(("s-2", 1), Advisory(rate_limit=4.0), sent_at=0.0, now=0.1)
+    >>> _ = registry.record(("s-2", 1), Advisory(rate_limit=4.0), sent_at=0.0, now=0.1)
     >>> registry.rate_limit(("s-2", 1), now=1.0)
     4.0
 
@@ -98,8 +98,8 @@
         *,
         sent_at: float,
         now: float,
-    ) -> None:
-        """Record what a response says of the incarnation that sent it.
+    ) -> list[Statement]:
+        """Record what a response says of the incarnation that sent it; return the news.
 
         `sent_at` is when the request was sent. A response ends a limit only if its
         request was sent after the limit was heard of: responses may overtake each
@@ -110,19 +110,24 @@
             paused_until = now + advisory.pause_seconds
             known.paused_until = max(known.paused_until, paused_until)
             self.has_restrictions = True
+        statements: list[Statement] = []
         if advisory.is_leaving:
-            self._publish(Leaving(incarnation=incarnation, heard_at=now), now)
+            statements.append(Leaving(incarnation=incarnation, heard_at=now))
         if advisory.rate_limit is not None or self._ends_limit(
             incarnation, advisory, sent_at
         ):
-            self._publish(
+            statements.append(
                 RateLimit(
                     incarnation=incarnation,
                     per_second=advisory.rate_limit,
                     heard_at=now,
-                ),
-                now,
+                )
             )
+        news = [statement for statement in statements if self._apply(statement, now)]
+        for statement in news:
+            for on_news in self._subscribers:
+                on_news(statement)
+        return news
 
     def merge(self, statement: Statement, *, now: float) -> None:
         """Apply what another gateway heard."""
@@ -192,11 +197,6 @@
             and sent_at > limit.heard_at
         )
 
-    def _publish(self, statement: Statement, now: float) -> None:
-        if self._apply(statement, now):
-            for on_news in self._subscribers:
-                on_news(statement)
-
     def _apply(self, statement: Statement, now: float) -> bool:
         """Store a statement; return whether it is news."""
         known = self._known(statement.incarnation, now)
--- a/packages/gateway/eelgrassdale_gateway/advisories/tests/test_limits.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/tests/test_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from eelgrassdale_gateway.shares import GatewayGroup, equal_share
 from eelgrassdale_gateway.tests.harness import (
     ScriptedBackend,
     reply_with,
@@ -35,3 +36,40 @@
     # One request before the first response and one saved up, beside the rate.
     assert limited <= LIMIT * elapsed + 2
     assert limited + other == REQUESTS
+
+
+def test_gateway_without_a_share_refuses_at_once_with_a_time_to_come_back():
+    """Guards against a Retry-After that no caller can read."""
+    members = frozenset(f"g-{number}" for number in range(50))
+
+    def group_without_share():
+        shares = {
+            name: equal_share(
+                0.2,
+                resource="s-0",
+                gateway_group=GatewayGroup(own_name=name, members=members),
+                max_members=2,
+            )
+            for name in sorted(members)
+        }
+        own_name = next(name for name, share in shares.items() if not share)
+        return GatewayGroup(own_name=own_name, members=members)
+
+    async def scenario(harness):
+        group = group_without_share()
+        harness.dispatcher.eligible._rate_limiter._gateway_group = lambda: group
+        limited = ScriptedBackend(
+            reply=reply_with(
+                lambda req: signed_response(req, b"ok", "200 OK", "T-Limit: 0.1")
+            )
+        )
+        await harness.start("plain", limited)
+        await harness.send_request("/unsafe/")
+        started_at = time.monotonic()
+        head, _ = await harness.send_request("/unsafe/")
+        return head, time.monotonic() - started_at, len(limited.received)
+
+    head, seconds, count = run_scenario(scenario)
+    assert (head.status, count) == (503, 1)
+    assert 0.1 <= float(head.header("retry-after")) < 2.0
+    assert seconds < 0.5
--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -216,8 +216,9 @@
             return True
         code = refusal_code(waiter, now)
         if code is not None:
-            is_paused = waiter.earliest_start > now
-            retry_at = waiter.earliest_start if is_paused else None
+            # Infinite if this gateway has no share of the servers' rates.
+            is_known = now < waiter.earliest_start < float("inf")
+            retry_at = waiter.earliest_start if is_known else None
             queued.fut.set_exception(PlacementRefused(code, retry_at=retry_at))
             return True
         return False
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -23,11 +23,7 @@
     Relayed,
     Withdrawn,
 )
-from eelgrassdale_gateway.queueing import (
-    MIN_RETRY_AFTER_SECONDS,
-    is_late,
-    retry_after_seconds,
-)
+from eelgrassdale_gateway.queueing import is_late, retry_after_seconds
 from eelgrassdale_gateway.responses import response_headers
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.retryrules import (
@@ -203,19 +199,12 @@
         *,
         sent_at: float,
     ) -> None:
-        advisories = self._dispatcher.advisories
-        incarnation = server.incarnation
-        now = self._clock.monotonic()
-        was_leaving = advisories.is_leaving(incarnation)
-        limit_before = advisories.rate_limit(incarnation, now=now)
-        advisories.record(incarnation, advisory, sent_at=sent_at, now=now)
-        request_id = call.admitted.request_id
-        if advisories.is_leaving(incarnation) and not was_leaving:
-            self._telemetry.record_leaving(request_id=request_id, server=server)
-        limit = advisories.rate_limit(incarnation, now=now)
-        if limit != limit_before:
-            self._telemetry.record_rate_limit(
-                request_id=request_id, server=server, rate_limit=limit
+        news = self._dispatcher.advisories.record(
+            server.incarnation, advisory, sent_at=sent_at, now=self._clock.monotonic()
+        )
+        for statement in news:
+            self._telemetry.record_advisory(
+                request_id=call.admitted.request_id, server=server, statement=statement
             )
 
     def _on_response_start(self, call: Call, in_flight: InFlightRequest) -> None:
@@ -352,10 +341,11 @@
         if call is not None and code is ResultCode.PROMPT_QUARANTINED:
             return self._quarantine.seconds_until_trial(call.admitted.quarantine_parts)
         now = self._clock.monotonic()
-        if call is not None and call.retry_at is not None:
-            return max(MIN_RETRY_AFTER_SECONDS, call.retry_at - now)
         expires_at = call.admitted.expires_at if call else now
-        return retry_after_seconds(now=now, expires_at=expires_at)
+        seconds = retry_after_seconds(now=now, expires_at=expires_at)
+        if call is not None and call.retry_at is not None:
+            return max(seconds, call.retry_at - now)
+        return seconds
 
     def _record_end(self, call: Call, code: ResultCode, **fields: object) -> None:
         admitted = call.admitted
--- a/packages/gateway/eelgrassdale_gateway/telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/telemetry.py
@@ -10,6 +10,7 @@
 
 from eelgrassdale.results import ResultCode
 from eelgrassdale_gateway.admission import AdmittedRequest
+from eelgrassdale_gateway.advisories import Leaving, RateLimit, Statement
 from eelgrassdale_gateway.calls import Call
 from eelgrassdale_gateway.model import BackendServer
 from eelgrassdale_gateway.outcomes import Answered, Outcome
@@ -119,27 +120,27 @@
             parts=",".join(call.admitted.shared_parts),
         )
 
-    def record_leaving(self, *, request_id: str, server: BackendServer) -> None:
-        """Log that a response says that its backend server is about to stop."""
-        log.info(
-            "backend server says that it leaves",
-            request=request_id,
-            server=server.id,
-            born=server.started_at_ms,
-            is_listed_as_leaving=server.is_leaving,
-        )
-
-    def record_rate_limit(
-        self, *, request_id: str, server: BackendServer, rate_limit: float | None
+    def record_advisory(
+        self, *, request_id: str, server: BackendServer, statement: Statement
     ) -> None:
-        """Log that a response names another limit, or None any more."""
-        log.info(
-            "backend server names a limit",
-            request=request_id,
-            server=server.id,
-            born=server.started_at_ms,
-            per_second=rate_limit,
-        )
+        """Log what a response says of its backend server, if it is new."""
+        match statement:
+            case Leaving():
+                log.info(
+                    "backend server says that it leaves",
+                    request=request_id,
+                    server=server.id,
+                    born=server.started_at_ms,
+                    is_listed_as_leaving=server.is_leaving,
+                )
+            case RateLimit(per_second=per_second):
+                log.info(
+                    "backend server names a limit",
+                    request=request_id,
+                    server=server.id,
+                    born=server.started_at_ms,
+                    per_second=per_second,
+                )
 
     def record_retry_refusal(self, *, request_id: str, reason: str) -> None:
         """Log why a failed attempt is not retried."""
