--- a/packages/gateway/eelgrassdale_gateway/advisories/tests/test_ratelimiter.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/tests/test_ratelimiter.py
@@ -82,3 +82,14 @@
     names = gateway_names(9)
     times = send_times(limiters_of(names, names), 0.0, demand=200, seconds=60)
     assert 1 <= len(times) <= 60 * 0.2 + 2
+
+
+def test_gateway_that_was_frozen_sends_no_burst():
+    """Guards against a rate that adds up while a process is paused."""
+    (limiter,) = limiters_of(["g"], ["g"])
+    limiter.next_send_at(("s", 1), rate=5.0, now=0.0)
+    after_freeze = 600.0
+    assert limiter.next_send_at(("s", 1), rate=5.0, now=after_freeze) == after_freeze
+    limiter.record_send(("s", 1), now=after_freeze)
+    next_at = limiter.next_send_at(("s", 1), rate=5.0, now=after_freeze)
+    assert next_at == pytest.approx(after_freeze + 0.2)
