Close idle connections of every pool

Cause: connections that tests left idle in pools outlived their event loop. Their finalizers raise when the garbage collector reaches them; pytest then formats a traceback, which calls `ast.parse` in Python 3.11. If the collector runs inside another `ast.parse`, the nested call spoils the depth counter that the outer one checks. A script with a finalizer that logs a traceback during `ast.parse` failed so in 30 of 30 calls. The finalizers' origin was recorded over the whole suite: 1,123 connections, all but about 10 idle in pools.

The product has the same fault more slowly: only the pool of forwarded requests was cleaned up. The pools of weights, objects, store and engine kept connections that their servers had closed, until the same address was used again; addresses of machines that were replaced never are.

Change: a pool closes its expired connections itself while it has any, and all of them when its event loop ends. Test peers and test clients close theirs.

Measured: both new tests fail on the code before.

--- a/packages/core/eelgrassdale/http1/client.py
+++ b/packages/core/eelgrassdale/http1/client.py
@@ -162,6 +162,10 @@
         """Return whether an idle connection is open and has received no bytes."""
         return not self._receiver.pending_read().done()
 
+    def is_closed(self) -> bool:
+        """Return whether this side closed the connection."""
+        return self._writer.is_closing()
+
     def close(self) -> None:
         """Close the connection immediately and discard unsent data."""
         self._receiver.cancel_read()
--- a/packages/core/eelgrassdale/http1/pool.py
+++ b/packages/core/eelgrassdale/http1/pool.py
@@ -18,6 +18,10 @@
 class ConnectionPool:
     """Pool of client connections of one process to many addresses.
 
+    Used from one event loop. While connections are idle, a task of the pool closes
+    those that expired or that their server closed. It closes all of them when it is
+    cancelled, as `asyncio.run` does at its end.
+
     Parameters
     ----------
     connect_seconds : float
@@ -30,6 +34,7 @@
         self.idle_per_address = idle_per_address
         self._connect_seconds = connect_seconds
         self._idle: dict[Address, deque[ClientConnection]] = defaultdict(deque)
+        self._cleanup_task: asyncio.Task[None] | None = None
 
     async def acquire(
         self, address: Address, *, fresh: bool = False
@@ -86,12 +91,8 @@
             conn.close()
             return
         idle.append(conn)
-
-    async def run_cleanup(self) -> None:
-        """Close expired connections repeatedly until cancelled."""
-        while True:
-            await asyncio.sleep(CLEANUP_INTERVAL_SECONDS)
-            self.close_expired()
+        if self._cleanup_task is None or self._cleanup_task.done():
+            self._cleanup_task = asyncio.create_task(self._clean_up_while_idle())
 
     def close_expired(self) -> None:
         """Close idle connections that expired or were closed by the server."""
@@ -106,10 +107,21 @@
             if not kept:
                 del self._idle[address]
 
-    def close_idle(self, address: Address) -> None:
-        """Close the idle connections to an address."""
-        for conn in self._idle.pop(address, ()):
-            conn.close()
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        while self._idle:
+            _, idle = self._idle.popitem()
+            for conn in idle:
+                conn.close()
+
+    async def _clean_up_while_idle(self) -> None:
+        try:
+            while self._idle:
+                await asyncio.sleep(CLEANUP_INTERVAL_SECONDS)
+                self.close_expired()
+        except asyncio.CancelledError:
+            self.close_idle()
+            raise
 
 
 def _is_usable(conn: ClientConnection) -> bool:
--- a/packages/core/eelgrassdale/http1/tests/test_client.py
+++ b/packages/core/eelgrassdale/http1/tests/test_client.py
@@ -26,7 +26,7 @@
     """
 
     async def run():
-        async def peer(reader, writer):
+        async def answer_all(reader, writer):
             for answer in answers:
                 await reader.readuntil(b"\r\n\r\n")
                 writer.write(answer)
@@ -37,7 +37,12 @@
                 sock = writer.get_extra_info("socket")
                 linger = struct.pack("ii", 1, 0)
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.close()
+
+        async def peer(reader, writer):
+            try:
+                await answer_all(reader, writer)
+            finally:
+                writer.close()
 
         server = await asyncio.start_server(peer, "127.0.0.1", 0)
         async with server, asyncio.timeout(5):
@@ -48,9 +53,22 @@
 
 async def send_and_read(address):
     conn = await connect(address, timeout=1)
+    try:
+        await conn.send(REQUEST)
+        head = await conn.head(timeout=1)
+        return head, await conn.body(limit=1000, timeout=1), conn
+    except ExchangeFailed:
+        conn.close()
+        raise
+
+
+async def release_one(pool, address):
+    conn = await pool.acquire(address)
     await conn.send(REQUEST)
-    head = await conn.head(timeout=1)
-    return head, await conn.body(limit=1000, timeout=1), conn
+    await conn.head(timeout=1)
+    await conn.body(limit=1000, timeout=1)
+    pool.release(conn)
+    return conn
 
 
 def test_response_without_length_ends_when_the_connection_closes():
@@ -99,11 +117,7 @@
 def test_idle_connection_that_received_bytes_is_not_reused():
     async def client(address):
         pool = ConnectionPool(connect_seconds=1)
-        first = await pool.acquire(address)
-        await first.send(REQUEST)
-        await first.head(timeout=1)
-        await first.body(limit=1000, timeout=1)
-        pool.release(first)
+        first = await release_one(pool, address)
         while first.is_idle():
             await asyncio.sleep(0.01)
         second = await pool.acquire(address)
@@ -115,17 +129,35 @@
 def test_pool_reuses_idle_connections_except_for_fresh_ones():
     async def client(address):
         pool = ConnectionPool(connect_seconds=1)
-        first = await pool.acquire(address)
-        await first.send(REQUEST)
-        await first.head(timeout=1)
-        await first.body(limit=1000, timeout=1)
-        pool.release(first)
+        first = await release_one(pool, address)
         fresh = await pool.acquire(address, fresh=True)
-        return await pool.acquire(address) is first, fresh is first
+        try:
+            return await pool.acquire(address) is first, fresh is first
+        finally:
+            fresh.close()
+            first.close()
 
     assert run_against_peer([OK], client, hold=True) == (True, False)
 
 
+def test_connection_that_its_server_closed_is_closed_though_it_is_not_used_again():
+    async def client(address):
+        conn = await release_one(ConnectionPool(connect_seconds=1), address)
+        while not conn.is_closed():
+            await asyncio.sleep(0.05)
+
+    run_against_peer([OK], client)
+
+
+def test_idle_connections_are_closed_when_the_event_loop_ends():
+    """Otherwise their finalizers raise errors whenever they are collected."""
+
+    async def client(address):
+        return await release_one(ConnectionPool(connect_seconds=1), address)
+
+    assert run_against_peer([OK], client, hold=True).is_closed()
+
+
 def test_refused_connection_raises_connect_failed():
     async def run():
         with socket.socket() as sock:
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -291,7 +291,6 @@
             group.create_task(self.peers.run())
             group.create_task(self._quarantine_exchange.run())
             group.create_task(self._advisory_exchange.run())
-            group.create_task(self._pool.run_cleanup())
             if self._archive is not None:
                 group.create_task(self._archive.run())
             if self._mirror_set is not None:
--- a/packages/gateway/eelgrassdale_gateway/tests/harness.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/harness.py
@@ -257,16 +257,18 @@
             "t-key": "key-1",
             "t-time-left": str(int(seconds * 1000)),
         } | {name.replace("_", "-"): value for name, value in extra_headers.items()}
-        await conn.send(
-            Request(
-                method=method,
-                target=path,
-                headers=tuple(headers.items()),
-                body=b"body" if method == "POST" else b"",
-            )
+        req = Request(
+            method=method,
+            target=path,
+            headers=tuple(headers.items()),
+            body=b"body" if method == "POST" else b"",
         )
-        head = await conn.head(timeout=TIMEOUT_SECONDS)
-        return head, await conn.body(limit=1_000_000, timeout=TIMEOUT_SECONDS)
+        try:
+            await conn.send(req)
+            head = await conn.head(timeout=TIMEOUT_SECONDS)
+            return head, await conn.body(limit=1_000_000, timeout=TIMEOUT_SECONDS)
+        finally:
+            conn.close()
 
 
 def run_scenario(scenario: Callable[[GatewayHarness], Awaitable[object]]) -> object:
