Refuse at once what the limits of servers leave no start

What callers saw: while servers name limits, requests waited for 0.4 of their time and were refused then (QUEUE_FULL), though the gateway could have known it.

Cause: the queue looked only at the first moment at which any server takes a request again, for each waiting request alone, and not at those before it.

Ruled out: the lengths of the pauses and limits themselves, which are kept in one place and were read rightly.

Change: if all servers that may run a request name a limit or a pause, `advisories/forecast.py` gives the waiting requests, in the order of the queue, the next starts of this gateway's shares. One that would be late there and would have waited too long is refused at once, with that start as its Retry-After. The rule for late requests is the same, applied to the start that is known.

Measured: both new tests fail on the code before.

--- a/packages/gateway/eelgrassdale_gateway/advisories/ratelimiter.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/ratelimiter.py
@@ -9,6 +9,7 @@
 
 from attrs import define
 
+from eelgrassdale_gateway.advisories.forecast import StartTimes
 from eelgrassdale_gateway.model import Incarnation
 from eelgrassdale_gateway.shares import GatewayGroup, equal_share
 
@@ -79,6 +80,19 @@
             return now
         return now + (MAX_SAVED_REQUESTS - bucket.saved) / share if share else NEVER
 
+    def start_times(
+        self, incarnation: Incarnation, *, rate: float, now: float
+    ) -> StartTimes:
+        """Return when this gateway may send the next requests, if it sends all it may.
+
+        Parameters as for `next_send_at`.
+        """
+        next_at = self.next_send_at(incarnation, rate=rate, now=now)
+        share = self._buckets[incarnation].rate
+        return StartTimes(
+            next_at=next_at, interval_seconds=1 / share if share else NEVER
+        )
+
     def record_send(self, incarnation: Incarnation, *, now: float) -> None:
         """Count a request against the rate of its server, if that is limited."""
         bucket = self._buckets.get(incarnation)
--- a/packages/gateway/eelgrassdale_gateway/advisories/tests/test_limits.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/tests/test_limits.py
@@ -38,6 +38,30 @@
     assert limited + other == REQUESTS
 
 
+def test_request_that_the_limits_leave_no_start_is_refused_at_once():
+    """Guards against callers that learn late that a limited server has no room."""
+
+    async def scenario(harness):
+        limited = ScriptedBackend(reply=reply_with(limited_response))
+        await harness.start("plain", limited)
+        await harness.send_request("/safe/", method="GET")
+
+        async def timed_request():
+            started_at = time.monotonic()
+            head, _ = await harness.send_request("/unsafe/", seconds=SECONDS)
+            return head.status, time.monotonic() - started_at
+
+        return await asyncio.gather(*(timed_request() for _ in range(40)))
+
+    results = run_scenario(scenario)
+    refusal_times = [seconds for status, seconds in results if status == 503]
+    # Three can start within the longest wait of a late request, 0.8 s here.
+    assert sum(status == 200 for status, _ in results) >= 3
+    assert len(refusal_times) >= 40 - LIMIT * SECONDS
+    # A few may lose a start to another request, and learn it later.
+    assert sorted(refusal_times)[len(refusal_times) // 2] < 0.3
+
+
 def test_gateway_without_a_share_refuses_at_once_with_a_time_to_come_back():
     """Guards against a Retry-After that no caller can read."""
     members = frozenset(f"g-{number}" for number in range(50))
--- a/packages/gateway/eelgrassdale_gateway/candidates.py
+++ b/packages/gateway/eelgrassdale_gateway/candidates.py
@@ -10,6 +10,7 @@
 
 from attrs import define, field
 
+from eelgrassdale_gateway.advisories import StartForecast
 from eelgrassdale_gateway.model import Service
 from eelgrassdale_gateway.placement import (
     Candidate,
@@ -25,17 +26,28 @@
     `has_servers` is true if any server may run the requests, now or soon. `usable`
     are the ids of the servers that accept requests and hold a version that may
     serve, `candidates` those of them that may get one more request now, by id.
-    `resumes_at` is when the first server takes a request again, if there is one and all
-    take none now.
+    `forecast` says when requests that wait can start, if all of them take none now.
     """
 
     service: Service
     has_servers: bool
     usable: frozenset[str]
-    resumes_at: float = float("-inf")
+    forecast: StartForecast | None = None
     candidates: dict[str, Candidate]
     _open: list[Candidate] | None = field(default=None, init=False)
 
+    def earliest_start(self) -> float:
+        """Return when the next waiting request can start, on the monotonic clock.
+
+        It is minus infinity if that is not known.
+        """
+        return self.forecast.next_at if self.forecast else float("-inf")
+
+    def take_start(self) -> None:
+        """Count the earliest start as taken by a request that goes on waiting."""
+        if self.forecast:
+            self.forecast.take()
+
     def open_candidates(self, excluded: frozenset[str]) -> list[Candidate]:
         """Return the candidates among which one request is placed.
 
--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -208,7 +208,8 @@
         if self.quarantine.is_refused(waiter.prompt_parts):
             queued.fut.set_exception(PlacementRefused(ResultCode.PROMPT_QUARANTINED))
             return True
-        placement = self._find_placement(waiter, dispatch_pass)
+        group = self._group_for(waiter, dispatch_pass)
+        placement = self._find_placement(waiter, group, now) if group else None
         if placement is not None:
             self.quarantine.record_send(waiter.prompt_parts)
             in_flight = self._record_placement(placement, waiter, dispatch_pass)
@@ -221,6 +222,8 @@
             retry_at = waiter.earliest_start if is_known else None
             queued.fut.set_exception(PlacementRefused(code, retry_at=retry_at))
             return True
+        if group is not None:
+            group.take_start()
         return False
 
     def _record_placement(
@@ -237,15 +240,12 @@
         return in_flight
 
     def _find_placement(
-        self, waiter: Waiter, dispatch_pass: _DispatchPass
+        self, waiter: Waiter, group: CandidateGroup, now: float
     ) -> Placement | None:
-        group = self._group_for(waiter, dispatch_pass)
-        if group is None:
-            return None
         if group.has_servers:
             # They may be loading weights and become usable soon.
-            waiter.last_candidate_at = dispatch_pass.moment.now
-        waiter.earliest_start = group.resumes_at
+            waiter.last_candidate_at = now
+        waiter.earliest_start = group.earliest_start()
         candidates = group.open_candidates(waiter.excluded)
         if not candidates:
             return None
@@ -254,7 +254,7 @@
             candidates=candidates,
             tokens=waiter.tokens,
             rng=self._rng,
-            is_late=is_late(waiter, dispatch_pass.moment.now),
+            is_late=is_late(waiter, now),
         )
 
     def _group_for(
--- a/packages/gateway/eelgrassdale_gateway/eligibility.py
+++ b/packages/gateway/eelgrassdale_gateway/eligibility.py
@@ -6,12 +6,17 @@
 """
 
 from collections import defaultdict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from eelgrassdale.clock import Clock
-from eelgrassdale_gateway.advisories import AdvisoryRegistry, RateLimiter
+from eelgrassdale_gateway.advisories import (
+    AdvisoryRegistry,
+    RateLimiter,
+    StartForecast,
+    StartTimes,
+)
 from eelgrassdale_gateway.availability import AvailabilityTracker
 from eelgrassdale_gateway.candidates import CandidateGroup
 from eelgrassdale_gateway.health import HealthTracker
@@ -92,8 +97,8 @@
         """Return the candidates for requests like this one."""
         in_service = self._servers_in_service(waiter)
         accepting = self._accepting_servers(in_service, waiter.model, moment.now)
-        resume_times = self._resume_times(accepting, moment.now)
-        usable = [s for s in accepting if s.id not in resume_times]
+        closed = self._closed_servers(accepting, moment.now)
+        usable = [s for s in accepting if s.id not in closed]
         candidates = {
             server.id: candidate
             for server in usable
@@ -103,19 +108,19 @@
             service=service,
             has_servers=bool(in_service),
             usable=frozenset(server.id for server in usable),
-            resumes_at=(
-                min(resume_times.values())
-                if resume_times and not usable
-                else float("-inf")
-            ),
             candidates=candidates,
+            forecast=(
+                _forecast(closed.values(), are_all_servers=accepting == in_service)
+                if closed and not usable
+                else None
+            ),
         )
 
     def candidate(
         self, server: BackendServer, service: Service, moment: Moment
     ) -> Candidate | None:
         """Return a server with its load, or None if it may get no request now."""
-        if self._resume_times([server], moment.now):
+        if self._closed_servers([server], moment.now):
             return None
         return self._candidate(server, service, moment)
 
@@ -191,34 +196,33 @@
         )
         return accepting
 
-    def _resume_times(
+    def _closed_servers(
         self, servers: list[BackendServer], now: float
-    ) -> dict[str, float]:
+    ) -> dict[str, StartTimes]:
         """Return when the servers take a request again that take none now, by id."""
         if not self.advisories.has_restrictions:
             return {}
+        start_times = {server.id: self._start_times(server, now) for server in servers}
         return {
-            server.id: resumes_at
-            for server in servers
-            if (resumes_at := self._resumes_at(server, now)) > now
+            server_id: starts
+            for server_id, starts in start_times.items()
+            if starts.next_at > now
         }
 
-    def _resumes_at(self, server: BackendServer, now: float) -> float:
-        """Return when a server takes the next request of this gateway.
+    def _start_times(self, server: BackendServer, now: float) -> StartTimes:
+        """Return when a server takes the next requests of this gateway.
 
         It is `now` or earlier unless the server said that it wants none for a while, or
         so few that this gateway's share is used up.
         """
         incarnation = server.incarnation
-        resumes_at = self.advisories.paused_until(incarnation)
+        paused_until = self.advisories.paused_until(incarnation)
         rate = self.advisories.rate_limit(incarnation, now=now)
         if rate is None:
             self._rate_limiter.forget(incarnation)
-            return resumes_at
-        return max(
-            resumes_at,
-            self._rate_limiter.next_send_at(incarnation, rate=rate, now=now),
-        )
+            return StartTimes(next_at=paused_until)
+        starts = self._rate_limiter.start_times(incarnation, rate=rate, now=now)
+        return evolve(starts, next_at=max(paused_until, starts.next_at))
 
     def _may_send_to_newly_available(
         self, server: BackendServer, service: Service, now: float
@@ -251,3 +255,13 @@
             resource=server.id,
             gateway_group=self._gateway_group(),
         )
+
+
+def _forecast(servers: Iterable[StartTimes], *, are_all_servers: bool) -> StartForecast:
+    """Return the starts of waiting requests at servers that take none now.
+
+    If other servers may soon be able to run them, only the first start is known.
+    """
+    if are_all_servers:
+        return StartForecast(servers)
+    return StartForecast([StartTimes(next_at=min(s.next_at for s in servers))])
--- a/packages/gateway/eelgrassdale_gateway/queueing.py
+++ b/packages/gateway/eelgrassdale_gateway/queueing.py
@@ -2,8 +2,8 @@
 
 Designed for load above the capacity of a service: requests that can still meet their
 objective go first, and the others use the remaining capacity. A request that waited
-too long is refused with a Retry-After time while its caller's deadline still leaves
-time for another try.
+too long, or would have to, is refused with a Retry-After time while its caller's
+deadline still leaves time for another try.
 """
 
 from collections.abc import Iterable
@@ -37,7 +37,8 @@
     is due, `expires_at` when the gateway ends the request. `min_first_event_seconds`
     and `streaming_seconds` are the times to its first event and from there to its last
     at an idle engine. `last_candidate_at` is when a backend server that may run it was
-    last listed, `earliest_start` the first moment at which one takes requests.
+    last listed. `earliest_start` is when one can take this request after those before
+    it, minus infinity if that is not known.
     """
 
     service: str
@@ -91,7 +92,10 @@
 
 
 def refusal_code(waiter: Waiter, now: float) -> ResultCode | None:
-    """Return the code with which to refuse a waiting request now, or None."""
+    """Return the code with which to refuse a waiting request now, or None.
+
+    One whose earliest start is too late is refused without waiting for it.
+    """
     start_at = max(now, waiter.earliest_start)
     if (
         start_at + waiter.min_first_event_seconds + waiter.streaming_seconds
@@ -103,7 +107,7 @@
     if now - last_listed_at > MAX_WAIT_WITHOUT_SERVER_SECONDS:
         return ResultCode.NO_BACKEND_SERVER
     max_wait_seconds = MAX_LATE_WAIT_SHARE * (waiter.expires_at - waiter.arrived_at)
-    if is_late(waiter, now) and now - waiter.arrived_at > max_wait_seconds:
+    if is_late(waiter, start_at) and start_at - waiter.arrived_at > max_wait_seconds:
         return ResultCode.QUEUE_FULL
     return None
 
--- a/packages/gateway/eelgrassdale_gateway/tests/test_queueing.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_queueing.py
@@ -32,6 +32,15 @@
     assert retry_after_seconds(now=2.5, expires_at=late.expires_at) <= 3.5 / 3
 
 
+def test_request_that_would_have_to_wait_too_long_is_refused_at_once():
+    """Guards against callers that wait for a start which is known to be too late."""
+    soon, late, too_late = waiter(), waiter(), waiter()
+    soon.earliest_start, late.earliest_start, too_late.earliest_start = 0.1, 2.3, 2.5
+    assert refusal_code(soon, 0.0) is None
+    assert refusal_code(late, 0.0) is None
+    assert refusal_code(too_late, 0.0) is ResultCode.QUEUE_FULL
+
+
 def test_request_is_refused_soon_when_no_server_is_listed():
     without_server = waiter()
     without_server.last_candidate_at = float("-inf")
