Survive odd entries of quarantines in the store

What callers would see: a gateway that reads an entry of a quarantine with an infinite number ends at its start, and again after each restart (the report of another operator, here in a kind of entry that was not tried before).

`int` of an infinite number raises OverflowError, which was not expected; a time of writing that is text failed in its comparison. Numbers above the 32 bits of the message between gateways, or trial counts whose interval overflows, passed and would have failed later.

Ruled out: versions, configuration and gateways among the kinds, and the list of servers at an agent.

Invalid entries are deleted, as before.

--- a/packages/gateway/eelgrassdale_gateway/quarantine/archive.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/archive.py
@@ -13,7 +13,12 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.hashing import digest_of
-from eelgrassdale_gateway.objects import Listing, StoredObject, StoreUnavailable
+from eelgrassdale_gateway.objects import (
+    Listing,
+    StoredObject,
+    StoreUnavailable,
+    whole_number,
+)
 from eelgrassdale_gateway.quarantine.evidence import CrashReport
 from eelgrassdale_gateway.quarantine.state import (
     FIRST_TRIAL_SECONDS,
@@ -28,6 +33,9 @@
 MAX_AGE_SECONDS = 86_400
 # States that wait for the store; of each combination of parts only the newest one.
 MAX_UNWRITTEN = 64
+# Bounds of what entries may hold; larger values are errors of their writers.
+MAX_SEQUENCE = 2**30
+MAX_TRIAL_COUNT = 100
 
 log = structlog.get_logger(__name__)
 
@@ -112,10 +120,9 @@
 
     async def _load(self) -> None:
         listing = await self._store.list(self._kind)
-        oldest = self._unix_seconds() - MAX_AGE_SECONDS
         for item in listing.objects:
             quarantine = self._decode(item)
-            if quarantine is None or item.spec["written_at"] < oldest:
+            if quarantine is None:
                 await self._store.delete(self._kind, item.name)
             else:
                 self._quarantine.merge(quarantine)
@@ -139,23 +146,33 @@
         }
 
     def _decode(self, item: StoredObject) -> Quarantine | None:
-        """Return the quarantine of an entry, or None if it is invalid."""
+        """Return the quarantine of an entry, or None if it is invalid or too old."""
         now = self._clock.monotonic()
+        unix_now = int(self._unix_seconds())
         try:
             parts = frozenset(str(part) for part in item.spec["parts"] if part)
             if not parts:
                 raise ValueError("no parts")
-            int(item.spec["written_at"])
+            # The clocks of its writer and of this gateway may differ.
+            whole_number(
+                item.spec["written_at"],
+                lowest=unix_now - MAX_AGE_SECONDS,
+                highest=unix_now + MAX_AGE_SECONDS,
+            )
             return Quarantine(
                 parts=parts,
-                sequence=int(item.spec["sequence"]),
+                sequence=whole_number(item.spec["sequence"], highest=MAX_SEQUENCE),
                 is_active=True,
-                trial_count=int(item.spec["trial_count"]),
+                trial_count=whole_number(
+                    item.spec["trial_count"], highest=MAX_TRIAL_COUNT
+                ),
                 evidence_at=now,
                 trial_at=now + FIRST_TRIAL_SECONDS,
             )
         except (KeyError, TypeError, ValueError) as exc:
-            log.warning("invalid quarantine deleted", name=item.name, error=repr(exc))
+            log.warning(
+                "invalid or old quarantine deleted", name=item.name, error=repr(exc)
+            )
             return None
 
 
--- a/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_archive.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_archive.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from eelgrassdale.clock import SystemClock
 from eelgrassdale_gateway.objects import Listing, StoredObject, StoreUnavailable
 from eelgrassdale_gateway.quarantine import (
@@ -59,6 +61,8 @@
     task = asyncio.ensure_future(archive.run())
     act(quarantine)
     await asyncio.sleep(0.05 + 0.6 * store.failures)
+    if task.done():
+        task.result()
     task.cancel()
     return quarantine
 
@@ -115,3 +119,24 @@
         return quarantine.states(), store.objects
 
     assert asyncio.run(scenario()) == ([], {})
+
+
+VALID_ENTRY = {
+    "parts": ["x"],
+    "sequence": 1,
+    "trial_count": 0,
+    "written_at": UNIX_SECONDS,
+}
+
+
+@pytest.mark.parametrize("field", ["sequence", "trial_count", "written_at"])
+@pytest.mark.parametrize("value", ["1", [1], None, -1, 2**31, 10**30, float("inf")])
+def test_odd_entry_of_another_writer_is_deleted(field, value):
+    """Guards against a gateway that ends, or tells others what they cannot read."""
+
+    async def scenario():
+        store = Store()
+        store.objects["odd"] = VALID_ENTRY | {field: value}
+        return (await run_gateway(store)).states(), store.objects
+
+    assert asyncio.run(scenario()) == ([], {})
