Keep a VM list in force when one of its entries is odd

What callers would see: one entry of another writer that is invalid made the whole VM list of entry nodes and agents malformed, so new VMs got no requests and lost ones stayed listed, for as long as the entry stood. Nesting beyond the parser's depth and an infinite version raised errors that end the task that reads the list.

Ruled out: the gateway's lists, which had their fix and tests.

Change: entries that are invalid are left out and logged once, when their list comes into force; an address must be one. `jsondecoding` moves to `core`, so that both clients use it.

--- a/platform/eelgrassdale_platform/jsondecoding.py
+++ b/packages/core/eelgrassdale/jsondecoding.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import math
 import re
 from typing import Any
 
@@ -51,6 +52,31 @@
     return False
 
 
+def whole_number(value: Any, *, lowest: int = 0, highest: int) -> int:
+    """Return a decoded number as an integer within bounds.
+
+    Raises
+    ------
+    ValueError
+        If it is no number, not finite or out of bounds.
+
+    Examples
+    --------
+    >>> whole_number(7.0, highest=10)
+    7
+    >>> whole_number(float("inf"), highest=10)
+    Traceback (most recent call last):
+    ...
+    ValueError: no whole number from 0 to 10: inf
+
+    """
+    is_number = isinstance(value, int | float) and math.isfinite(value)
+    if not is_number or not lowest <= value <= highest:
+        shown = repr(value)[:100]
+        raise ValueError(f"no whole number from {lowest} to {highest}: {shown}")
+    return int(value)
+
+
 def _parse(data: bytes) -> Any:
     return json.loads(
         data.decode("utf-8", errors="replace"), strict=False, parse_int=_parse_integer
--- a/packages/core/eelgrassdale/membership/table.py
+++ b/packages/core/eelgrassdale/membership/table.py
@@ -98,6 +98,10 @@
             self._health = {n: h for n, h in self._health.items() if n in known}
             self._hints = {n: h for n, h in self._hints.items() if n in known}
             self._publish({name: self._resolve_member(name) for name in known})
+        for error in parsed.ok.skipped:
+            log.warning(
+                "invalid VM entry skipped", version=parsed.ok.version, error=error
+            )
         return True
 
     def record_contact(
--- a/packages/core/eelgrassdale/platform/vmlist.py
+++ b/packages/core/eelgrassdale/platform/vmlist.py
@@ -1,18 +1,23 @@
 """Client of the platform's VM list, which may lag behind the VMs that exist."""
 
-import json
 import zlib
 from collections.abc import Mapping
+from typing import Any
 
 import urllib3
 from attrs import frozen
 from expression import Error, Ok, Result
 
 from eelgrassdale.identity import Role
+from eelgrassdale.jsondecoding import decode_json, is_usable, whole_number
 from eelgrassdale.results import ResultCode, ResultError
+from eelgrassdale.settings import is_address
 
 READ_TIMEOUT_SECONDS = 2.0
 MAX_BODY_BYTES = 4 * 1024 * 1024
+MAX_ERROR_CHARACTERS = 200
+TEXT_FIELDS = ("name", "role", "data_centre", "region", "node_address", "state")
+MAX_VERSION = 2**53
 VM_STATES = ("live", "leaving")
 
 
@@ -31,15 +36,19 @@
 
 @frozen(kw_only=True)
 class VmList:
-    """One version of the VM list; `body` is the JSON document it was parsed from."""
+    """One version of the VM list; `body` is the JSON document it was parsed from.
+
+    `skipped` says what is wrong with each entry that is left out.
+    """
 
     version: int
     entries: Mapping[str, VmListEntry]
     body: bytes
+    skipped: tuple[str, ...] = ()
 
 
 def parse_vm_list(body: bytes) -> Result[VmList, ResultError]:
-    """Parse the VM list in a JSON body.
+    """Parse the VM list in a JSON body; entries that are invalid are skipped.
 
     Examples
     --------
@@ -50,15 +59,22 @@
 
     """
     try:
-        document = json.loads(body)
-        entries = [_parse_entry(fields) for fields in document["vms"]]
-        version = int(document["version"])
+        document = decode_json(body)
+        version = whole_number(document["version"], highest=MAX_VERSION)
+        vms = list(document["vms"])
     except (ValueError, KeyError, TypeError) as exc:
         return Error(_unavailable(f"VM list is malformed: {exc!r}"))
+    entries = {}
+    skipped = []
+    for fields in vms:
+        try:
+            entry = _parse_entry(fields)
+        except (ValueError, KeyError, TypeError) as exc:
+            skipped.append(repr(exc)[:MAX_ERROR_CHARACTERS])
+            continue
+        entries[entry.name] = entry
     return Ok(
-        VmList(
-            version=version, entries={entry.name: entry for entry in entries}, body=body
-        )
+        VmList(version=version, entries=entries, body=body, skipped=tuple(skipped))
     )
 
 
@@ -117,17 +133,27 @@
         self._pool.clear()
 
 
-def _parse_entry(fields: Mapping[str, str]) -> VmListEntry:
-    if fields["state"] not in VM_STATES:
-        raise ValueError(f"unknown VM state {fields['state']!r}")
+def _parse_entry(fields: Mapping[str, Any]) -> VmListEntry:
+    if not isinstance(fields, Mapping) or not is_usable(fields):
+        raise TypeError("the entry is no object, or is nested too deep")
+    texts = {name: fields[name] for name in TEXT_FIELDS}
+    texts["caller_address"] = fields.get("caller_address") or ""
+    for name, value in texts.items():
+        if not isinstance(value, str):
+            raise TypeError(f"{name} is no text")
+    if texts["state"] not in VM_STATES:
+        raise ValueError(f"unknown VM state {texts['state']!r}")
+    for address in (texts["node_address"], texts["caller_address"]):
+        if address and not is_address(address):
+            raise ValueError(f"invalid address {address!r}")
     return VmListEntry(
-        name=fields["name"],
-        role=Role(fields["role"]),
-        data_centre=fields["data_centre"],
-        region=fields["region"],
-        node_address=fields["node_address"],
-        caller_address=fields.get("caller_address") or "",
-        is_leaving=fields["state"] == "leaving",
+        name=texts["name"],
+        role=Role(texts["role"]),
+        data_centre=texts["data_centre"],
+        region=texts["region"],
+        node_address=texts["node_address"],
+        caller_address=texts["caller_address"],
+        is_leaving=texts["state"] == "leaving",
     )
 
 
--- a/packages/gateway/eelgrassdale_gateway/objects.py
+++ b/packages/gateway/eelgrassdale_gateway/objects.py
@@ -1,6 +1,5 @@
 """Objects of the platform's store, and the interface of their sources."""
 
-import math
 from typing import Any, Protocol
 
 from attrs import frozen
@@ -69,28 +68,3 @@
         Raises `HistoryGone` if the source has dropped that part of its history.
         """
         ...
-
-
-def whole_number(value: Any, *, lowest: int = 0, highest: int) -> int:
-    """Return a number of a decoded body as an integer within bounds.
-
-    Raises
-    ------
-    ValueError
-        If it is no number, not finite or out of bounds.
-
-    Examples
-    --------
-    >>> whole_number(7.0, highest=10)
-    7
-    >>> whole_number(float("inf"), highest=10)
-    Traceback (most recent call last):
-    ...
-    ValueError: no whole number from 0 to 10: inf
-
-    """
-    is_number = isinstance(value, int | float) and math.isfinite(value)
-    if not is_number or not lowest <= value <= highest:
-        shown = repr(value)[:100]
-        raise ValueError(f"no whole number from {lowest} to {highest}: {shown}")
-    return int(value)
--- a/packages/gateway/eelgrassdale_gateway/quarantine/archive.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/archive.py
@@ -13,12 +13,8 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.hashing import digest_of
-from eelgrassdale_gateway.objects import (
-    Listing,
-    StoredObject,
-    StoreUnavailable,
-    whole_number,
-)
+from eelgrassdale.jsondecoding import whole_number
+from eelgrassdale_gateway.objects import Listing, StoredObject, StoreUnavailable
 from eelgrassdale_gateway.quarantine.evidence import CrashReport
 from eelgrassdale_gateway.quarantine.state import (
     FIRST_TRIAL_SECONDS,
