--- a/packages/core/eelgrassdale/settings.py
+++ b/packages/core/eelgrassdale/settings.py
@@ -51,7 +51,8 @@
 
     """
     host, _, port = str(text).rpartition(":")
-    return bool(host) and port.isdecimal() and 0 < int(port) <= MAX_PORT
+    is_number = port.isdecimal() and len(port) <= len(str(MAX_PORT))
+    return bool(host) and is_number and 0 < int(port) <= MAX_PORT
 
 
 def text_required(_: Any, attribute: attrs.Attribute, value: object) -> None:
