Forecast starts at the cost of one lookup per server

Cause: the forecast made two objects for each limited server in each pass and compared them in Python.

Change: the next start is a number again, as before; intervals are looked up only if all servers are closed, and the heap holds tuples.

--- a/packages/gateway/eelgrassdale_gateway/advisories/forecast.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/forecast.py
@@ -8,10 +8,10 @@
 import heapq
 from collections.abc import Iterable
 
-from attrs import evolve, frozen
+from attrs import frozen
 
 
-@frozen(kw_only=True, order=True)
+@frozen(kw_only=True)
 class StartTimes:
     """When a backend server takes requests of this gateway.
 
@@ -45,17 +45,17 @@
     """
 
     def __init__(self, servers: Iterable[StartTimes]) -> None:
-        self._servers = list(servers)
-        heapq.heapify(self._servers)
+        # Next start and interval of each server; tuples, as they are compared often.
+        self._heap = [(server.next_at, server.interval_seconds) for server in servers]
+        heapq.heapify(self._heap)
 
     @property
     def next_at(self) -> float:
         """Earliest start that no request has taken, on the monotonic clock."""
-        return self._servers[0].next_at
+        return self._heap[0][0]
 
     def take(self) -> float:
         """Return the next start, and count it as taken by a waiting request."""
-        first = self._servers[0]
-        later = evolve(first, next_at=first.next_at + first.interval_seconds)
-        heapq.heapreplace(self._servers, later)
-        return first.next_at
+        next_at, interval_seconds = self._heap[0]
+        heapq.heapreplace(self._heap, (next_at + interval_seconds, interval_seconds))
+        return next_at
--- a/packages/gateway/eelgrassdale_gateway/advisories/ratelimiter.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/ratelimiter.py
@@ -9,7 +9,6 @@
 
 from attrs import define
 
-from eelgrassdale_gateway.advisories.forecast import StartTimes
 from eelgrassdale_gateway.model import Incarnation
 from eelgrassdale_gateway.shares import GatewayGroup, equal_share
 
@@ -80,18 +79,12 @@
             return now
         return now + (MAX_SAVED_REQUESTS - bucket.saved) / share if share else NEVER
 
-    def start_times(
-        self, incarnation: Incarnation, *, rate: float, now: float
-    ) -> StartTimes:
-        """Return when this gateway may send the next requests, if it sends all it may.
-
-        Parameters as for `next_send_at`.
-        """
-        next_at = self.next_send_at(incarnation, rate=rate, now=now)
-        share = self._buckets[incarnation].rate
-        return StartTimes(
-            next_at=next_at, interval_seconds=1 / share if share else NEVER
-        )
+    def interval_seconds(self, incarnation: Incarnation) -> float:
+        """Return the time between two requests to a server, 0 if it is not limited."""
+        bucket = self._buckets.get(incarnation)
+        if bucket is None:
+            return 0.0
+        return 1 / bucket.rate if bucket.rate else NEVER
 
     def record_send(self, incarnation: Incarnation, *, now: float) -> None:
         """Count a request against the rate of its server, if that is limited."""
--- a/packages/gateway/eelgrassdale_gateway/eligibility.py
+++ b/packages/gateway/eelgrassdale_gateway/eligibility.py
@@ -6,9 +6,9 @@
 """
 
 from collections import defaultdict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 
-from attrs import evolve, frozen
+from attrs import frozen
 
 from eelgrassdale.clock import Clock
 from eelgrassdale_gateway.advisories import (
@@ -99,6 +99,9 @@
         accepting = self._accepting_servers(in_service, waiter.model, moment.now)
         closed = self._closed_servers(accepting, moment.now)
         usable = [s for s in accepting if s.id not in closed]
+        forecast = None
+        if closed and not usable:
+            forecast = self._forecast(in_service, closed)
         candidates = {
             server.id: candidate
             for server in usable
@@ -109,11 +112,7 @@
             has_servers=bool(in_service),
             usable=frozenset(server.id for server in usable),
             candidates=candidates,
-            forecast=(
-                _forecast(closed.values(), are_all_servers=accepting == in_service)
-                if closed and not usable
-                else None
-            ),
+            forecast=forecast,
         )
 
     def candidate(
@@ -198,31 +197,51 @@
 
     def _closed_servers(
         self, servers: list[BackendServer], now: float
-    ) -> dict[str, StartTimes]:
+    ) -> dict[str, float]:
         """Return when the servers take a request again that take none now, by id."""
         if not self.advisories.has_restrictions:
             return {}
-        start_times = {server.id: self._start_times(server, now) for server in servers}
         return {
-            server_id: starts
-            for server_id, starts in start_times.items()
-            if starts.next_at > now
+            server.id: next_at
+            for server in servers
+            if (next_at := self._next_start(server, now)) > now
         }
 
-    def _start_times(self, server: BackendServer, now: float) -> StartTimes:
-        """Return when a server takes the next requests of this gateway.
+    def _next_start(self, server: BackendServer, now: float) -> float:
+        """Return when a server takes the next request of this gateway.
 
         It is `now` or earlier unless the server said that it wants none for a while, or
         so few that this gateway's share is used up.
         """
         incarnation = server.incarnation
-        paused_until = self.advisories.paused_until(incarnation)
+        next_at = self.advisories.paused_until(incarnation)
         rate = self.advisories.rate_limit(incarnation, now=now)
         if rate is None:
             self._rate_limiter.forget(incarnation)
-            return StartTimes(next_at=paused_until)
-        starts = self._rate_limiter.start_times(incarnation, rate=rate, now=now)
-        return evolve(starts, next_at=max(paused_until, starts.next_at))
+            return next_at
+        return max(
+            next_at,
+            self._rate_limiter.next_send_at(incarnation, rate=rate, now=now),
+        )
+
+    def _forecast(
+        self, servers: list[BackendServer], next_starts: Mapping[str, float]
+    ) -> StartForecast:
+        """Return the starts of waiting requests at servers that take none now.
+
+        If others, without a next start, may soon take requests too, only the first
+        start is known.
+        """
+        if len(next_starts) < len(servers):
+            return StartForecast([StartTimes(next_at=min(next_starts.values()))])
+        interval_seconds = self._rate_limiter.interval_seconds
+        return StartForecast(
+            StartTimes(
+                next_at=next_starts[server.id],
+                interval_seconds=interval_seconds(server.incarnation),
+            )
+            for server in servers
+        )
 
     def _may_send_to_newly_available(
         self, server: BackendServer, service: Service, now: float
@@ -255,13 +274,3 @@
             resource=server.id,
             gateway_group=self._gateway_group(),
         )
-
-
-def _forecast(servers: Iterable[StartTimes], *, are_all_servers: bool) -> StartForecast:
-    """Return the starts of waiting requests at servers that take none now.
-
-    If other servers may soon be able to run them, only the first start is known.
-    """
-    if are_all_servers:
-        return StartForecast(servers)
-    return StartForecast([StartTimes(next_at=min(s.next_at for s in servers))])
