Test waiting requests whose server leaves by a peer's word

The test it replaces slept before its requests arrived, so they were placed on what was known already. Requests now fill both servers and wait, then a peer's statement arrives: none of those that waited reaches that server.

--- a/packages/gateway/eelgrassdale_gateway/advisories/tests/test_leaving.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/tests/test_leaving.py
@@ -1,7 +1,6 @@
 """Tests of gateways whose backend servers say in responses that they leave."""
 
 import asyncio
-import time
 
 import pytest
 
@@ -144,23 +143,34 @@
     assert run_scenario(scenario) == (503, 1)
 
 
-def test_request_that_waited_through_a_pause_of_the_process_avoids_the_server():
-    """Guards against a placement on what was known before the process was frozen."""
+def test_waiting_requests_avoid_a_server_that_another_gateway_heard_leaves():
+    """Guards against a placement on what was known when the requests arrived."""
 
     async def scenario(harness):
-        leaving = ScriptedBackend(reply=reply_with(leaving_response))
-        staying = ScriptedBackend(reply=reply_with(signed_response))
+        is_released = asyncio.Event()
+
+        async def late_reply(req, writer):
+            await is_released.wait()
+            writer.write(signed_response(req))
+
+        leaving, staying = (ScriptedBackend(reply=late_reply) for _ in range(2))
         await harness.start("plain", leaving, staying, slots=1)
-        advisories = harness.dispatcher.advisories
-        told_by_peer = Leaving(incarnation=("s-0", 0), heard_at=0.0)
         sending = [
             asyncio.ensure_future(harness.send_request("/safe/", method="GET"))
-            for _ in range(4)
+            for _ in range(REQUESTS)
         ]
-        advisories.merge(told_by_peer, now=0.0)
-        # The process stands still, and the waiting requests are placed after it.
-        time.sleep(0.3)
+        dispatcher = harness.dispatcher
+        placed = dispatcher.loads.own_requests
+        while dispatcher.waiting_count() + placed("s-0") + placed("s-1") < REQUESTS:
+            await asyncio.sleep(0.01)
+        assert dispatcher.waiting_count()
+        placed_before = placed("s-0")
+        told_by_peer = Leaving(incarnation=("s-0", 0), heard_at=0.0)
+        dispatcher.advisories.merge(told_by_peer, now=0.0)
+        is_released.set()
         await asyncio.gather(*sending)
-        return len(leaving.received)
+        return placed_before, len(leaving.received), len(staying.received)
 
-    assert run_scenario(scenario) == 0
+    placed_before, leaving, staying = run_scenario(scenario)
+    assert placed_before > 0
+    assert (leaving, staying) == (placed_before, REQUESTS - placed_before)
