--- a/packages/gateway/eelgrassdale_gateway/advisories/tests/test_leaving.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/tests/test_leaving.py
@@ -1,6 +1,7 @@
 """Tests of gateways whose backend servers say in responses that they leave."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -174,3 +175,25 @@
     placed_before, leaving, staying = run_scenario(scenario)
     assert placed_before > 0
     assert (leaving, staying) == (placed_before, REQUESTS - placed_before)
+
+
+def test_request_that_waited_through_a_pause_of_the_process_avoids_the_server():
+    """Guards against a placement on what was known before the process was frozen."""
+
+    async def scenario(harness):
+        leaving = ScriptedBackend(reply=reply_with(leaving_response))
+        staying = ScriptedBackend(reply=reply_with(signed_response))
+        await harness.start("plain", leaving, staying, slots=1)
+        advisories = harness.dispatcher.advisories
+        told_by_peer = Leaving(incarnation=("s-0", 0), heard_at=0.0)
+        sending = [
+            asyncio.ensure_future(harness.send_request("/safe/", method="GET"))
+            for _ in range(4)
+        ]
+        advisories.merge(told_by_peer, now=0.0)
+        # The process stands still, and the waiting requests are placed after it.
+        time.sleep(0.3)
+        await asyncio.gather(*sending)
+        return len(leaving.received)
+
+    assert run_scenario(scenario) == 0
