--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -416,6 +416,9 @@
     record(f"disruption: {'yes' if has_trouble else 'no'}")
 
     async def bounded():
+        # A script that is told to stop ends its processes first.
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         deployment = Deployment(record)
         try:
             async with asyncio.timeout(limit_seconds):
@@ -425,7 +428,7 @@
 
     try:
         result = asyncio.run(bounded())
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         record(f"could not run: {exc!r}")
         result = NOT_RUN
     record(f"result: {['held', 'broken', 'could not run'][result]}")
