Tell by the server's end which prompts end servers

Cause: a crash counted only if the connection closed between the head of an answer and its first event, and only for the first 16 parts of a prompt. A server that ended before the head, after an event, or between the events of an answer without length was not seen. A connection that closed in that state counted also where the server went on.

Change: after a lost connection another one is opened; a process that has ended refuses it. Then all requests that it held count, with all parts of their prompts. Ends at one moment count once, and ends without a part raise the number of crashes that it takes from 3 up to 8, so that servers that fail for other reasons hold no prompt back. A completed answer clears a part; one that only began raises the number. A request is not sent again after two ends under its part, or one between head and first event as before. Reports of many parts are sent in pieces and count when they are whole, since a part of them would refuse more.

The stand-in of test_deadly_prompts.py closed one connection and went on listening; it now ends as a process does. Tests that recorded several crashes in one instant give each its own time.

--- a/packages/gateway/eelgrassdale_gateway/admission.py
+++ b/packages/gateway/eelgrassdale_gateway/admission.py
@@ -5,6 +5,7 @@
 from attrs import frozen
 from expression import Error, Ok, Result
 
+from eelgrassdale.hashing import digest_of
 from eelgrassdale.http1 import Request
 from eelgrassdale.results import ResultCode
 from eelgrassdale_gateway.headernames import HeaderNames
@@ -13,9 +14,10 @@
 # Subtracted from the deadline so that the response can reach the caller in time.
 RESPONSE_MARGIN_SECONDS = 0.03
 MAX_DEADLINE_SECONDS = 3600.0
-# Further parts of a prompt are ignored, which bounds what one request can add to logs.
-MAX_SHARED_PARTS = 16
-MAX_PART_LENGTH = 64
+# Longer names of models and parts are known by their digests.
+MAX_NAME_LENGTH = 64
+# Parts of a prompt that its log lines name.
+MAX_LOGGED_PARTS = 16
 
 
 @frozen(kw_only=True)
@@ -23,7 +25,8 @@
     """A request that passed admission; times are in seconds of the monotonic clock.
 
     `output_tokens` is an estimate, 0 if there is none. `shared_parts` are the ids of
-    the parts of the prompt that other requests may share. `deadline_at` is when the
+    the parts of the prompt that other requests may share, `quarantine_parts` the same
+    each together with the model that reads it. `deadline_at` is when the
     caller gives up. `expires_at` is when the gateway ends the request: shortly
     before `deadline_at`, or at the timeout of the route if that comes first.
     """
@@ -37,6 +40,7 @@
     prompt_tokens: int
     output_tokens: int
     shared_parts: tuple[str, ...] = ()
+    quarantine_parts: frozenset[str] = frozenset()
     arrived_at: float
     deadline_at: float
     expires_at: float
@@ -49,9 +53,11 @@
         return self.route.priority
 
     @property
-    def quarantine_parts(self) -> frozenset[str]:
-        """Shared parts of the prompt, each together with the model that reads it."""
-        return frozenset(f"{self.model}/{part}" for part in self.shared_parts)
+    def logged_parts(self) -> str:
+        """The first shared parts of the prompt, and the number of the others."""
+        names = ",".join(self.shared_parts[:MAX_LOGGED_PARTS])
+        left_out_count = len(self.shared_parts) - MAX_LOGGED_PARTS
+        return f"{names},+{left_out_count}" if left_out_count > 0 else names
 
     @property
     def regions(self) -> frozenset[str] | None:
@@ -84,6 +90,8 @@
         request.header(header_names.remaining_ms), route
     )
     deadline_at = now + remaining_seconds
+    model = request.header(header_names.model)
+    shared_parts = _parse_shared_parts(request.header(header_names.prompt_parts))
     prompt_tokens, output_tokens = _parse_token_counts(
         request.header(header_names.token_counts)
     )
@@ -94,12 +102,13 @@
             route=route,
             service=choose_service(route, rng),
             account=account,
-            model=request.header(header_names.model),
+            model=model,
             prompt_tokens=prompt_tokens,
             output_tokens=_expected_output_tokens(
                 request.header(header_names.output_tokens_hint), output_tokens
             ),
-            shared_parts=_parse_shared_parts(request.header(header_names.prompt_parts)),
+            shared_parts=shared_parts,
+            quarantine_parts=_with_model(model, shared_parts),
             arrived_at=now,
             deadline_at=deadline_at,
             expires_at=min(
@@ -173,5 +182,21 @@
 
     """
     ids = [entry.partition(":")[0].strip() for entry in text.split(",")]
-    shared = dict.fromkeys(part[:MAX_PART_LENGTH] for part in ids[:-1] if part)
-    return tuple(shared)[:MAX_SHARED_PARTS]
+    return tuple(dict.fromkeys(_bounded_name(part) for part in ids[:-1] if part))
+
+
+def _with_model(model: str, parts: tuple[str, ...]) -> frozenset[str]:
+    name = _bounded_name(model)
+    return frozenset(f"{name}/{part}" for part in parts)
+
+
+def _bounded_name(name: str) -> str:
+    """Return a name of at most `MAX_NAME_LENGTH` characters.
+
+    Examples
+    --------
+    >>> _bounded_name("5c1e07a2"), len(_bounded_name(1000 * "5"))
+    ('5c1e07a2', 32)
+
+    """
+    return name if len(name) <= MAX_NAME_LENGTH else digest_of(name.encode())
--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -25,6 +25,7 @@
     Lost,
     NotRun,
     Outcome,
+    Relayed,
     Withdrawn,
 )
 from eelgrassdale_gateway.progress import ProgressTimer
@@ -117,7 +118,7 @@
                 self._pool.release(conn)
             else:
                 conn.close()
-        if isinstance(outcome, Lost):
+        if isinstance(outcome, Lost | Answered | Relayed):
             outcome = evolve(outcome, is_disconnected=conn.is_disconnected)
         return outcome
 
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -27,11 +27,14 @@
 from eelgrassdale_gateway.responses import response_headers
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.retryrules import (
-    has_ended_its_server,
+    is_sound_answer,
+    lost_its_server,
+    lost_server_as_answer_began,
     result_code,
     retry_refusal_reason,
 )
 from eelgrassdale_gateway.routingstate import RoutingState
+from eelgrassdale_gateway.serverends import ServerEndDetector
 from eelgrassdale_gateway.stopschedule import StopSchedule
 from eelgrassdale_gateway.telemetry import RequestTelemetry
 
@@ -52,9 +55,11 @@
         retry_budgets: RetryBudgets,
         header_names: HeaderNames,
         telemetry: RequestTelemetry,
+        server_ends: ServerEndDetector | None = None,
         seed: int | None = None,
     ) -> None:
         self._telemetry = telemetry
+        self._server_ends = server_ends or ServerEndDetector()
         self._clock = clock
         self._routing_state = routing_state
         self._dispatcher = dispatcher
@@ -65,6 +70,7 @@
         self._rng = Random(seed)
         self._stop_schedule: StopSchedule | None = None
         self._time_limits: set[asyncio.Timeout] = set()
+        self._recordings: set[asyncio.Task[None]] = set()
 
     def start_stopping(self, schedule: StopSchedule) -> None:
         """Take requests as the schedule says, and end the present ones with it."""
@@ -186,11 +192,29 @@
             self._dispatcher.record_end(in_flight)
         if not isinstance(outcome, NotRun):
             call.run_count += 1
-        if has_ended_its_server(call, outcome):
-            self._record_crash(call, server)
         self._record_outcome(call, server, outcome)
+        if lost_its_server(outcome):
+            await self._handle_lost_server(call, server, outcome)
+        elif is_sound_answer(outcome):
+            self._quarantine.record_answer(admitted.quarantine_parts)
         return outcome, server
 
+    async def _handle_lost_server(
+        self, call: Call, server: BackendServer, outcome: Outcome
+    ) -> None:
+        """Record whether the server of an attempt has ended, if the prompt has parts.
+
+        It is recorded also if the caller closes its connection meanwhile.
+        """
+        if not call.admitted.quarantine_parts:
+            return
+        task = asyncio.ensure_future(self._record_lost_server(call, server, outcome))
+        self._recordings.add(task)
+        task.add_done_callback(self._recordings.discard)
+        if isinstance(outcome, Lost):
+            # Whether the request may be retried depends on it.
+            await asyncio.shield(task)
+
     def _on_advisory(
         self,
         call: Call,
@@ -214,11 +238,18 @@
             seconds=self._clock.monotonic() - call.admitted.arrived_at,
         )
 
-    def _record_crash(self, call: Call, server: BackendServer) -> None:
-        server_id, started_at_ms = server.incarnation
+    async def _record_lost_server(
+        self, call: Call, server: BackendServer, outcome: Outcome
+    ) -> None:
         parts = call.admitted.quarantine_parts
-        if parts:
-            self._quarantine.record_crash(f"{server_id}/{started_at_ms}", parts)
+        lost_at = self._clock.monotonic()
+        if await self._server_ends.has_ended(server):
+            server_id, started_at_ms = server.incarnation
+            self._quarantine.record_crash(
+                f"{server_id}/{started_at_ms}", parts, at=lost_at
+            )
+        elif is_sound_answer(outcome):
+            self._quarantine.record_answer(parts)
 
     def _record_outcome(
         self, call: Call, server: BackendServer, outcome: Outcome
@@ -256,8 +287,9 @@
         if isinstance(outcome, NotRun) and not outcome.was_sent:
             return True
         reason = retry_refusal_reason(call, outcome)
-        if has_ended_its_server(call, outcome) and self._quarantine.is_suspect(
-            call.admitted.quarantine_parts
+        if lost_its_server(outcome) and self._quarantine.is_suspect(
+            call.admitted.quarantine_parts,
+            has_answer_begun=lost_server_as_answer_began(call, outcome),
         ):
             reason = "may have ended its backend server"
         if not reason and not self._retry_budgets.take(call.admitted.service):
--- a/packages/gateway/eelgrassdale_gateway/outcomes.py
+++ b/packages/gateway/eelgrassdale_gateway/outcomes.py
@@ -33,15 +33,25 @@
 
 @frozen(kw_only=True)
 class Answered:
-    """The backend server sent a complete response, of any status."""
+    """The backend server sent a complete response, of any status.
+
+    `is_disconnected` is true if the response ended with the connection.
+    """
 
     head: ResponseHead
     body: bytes
+    is_disconnected: bool = False
 
 
 @frozen(kw_only=True)
 class Relayed:
-    """The response was streamed to the caller up to its end."""
+    """The response was streamed to the caller up to its end.
+
+    `is_disconnected` is true if it ended with the connection, as it also does where
+    the backend server ended between two events.
+    """
+
+    is_disconnected: bool = False
 
 
 Outcome = NotRun | Lost | Withdrawn | Answered | Relayed
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -53,12 +53,15 @@
     1: string server
     2: list<string> parts
     3: i32 age_ms
+    // Set in the pieces of a report: the digest of all its parts.
+    4: string digest
 }
 
-// An answer to a prompt with this part got beyond its beginning.
+// An answer to a prompt with this part got beyond its beginning, or to its end.
 struct SoundNotice {
     1: string part
     2: i32 age_ms
+    3: bool is_complete
 }
 
 // Prompts with all of these parts are refused, or no longer if not `is_active`.
--- a/packages/gateway/eelgrassdale_gateway/quarantine/__init__.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/__init__.py
@@ -11,7 +11,7 @@
 from eelgrassdale_gateway.quarantine.state import (
     PromptQuarantine,
     Quarantine,
-    SoundStart,
+    SoundAnswer,
 )
 
 __all__ = [
@@ -20,5 +20,5 @@
     "Quarantine",
     "QuarantineArchive",
     "QuarantineExchange",
-    "SoundStart",
+    "SoundAnswer",
 ]
--- a/packages/gateway/eelgrassdale_gateway/quarantine/archive.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/archive.py
@@ -21,7 +21,7 @@
     Finding,
     PromptQuarantine,
     Quarantine,
-    SoundStart,
+    SoundAnswer,
 )
 
 RETRY_SECONDS = 0.5
@@ -29,6 +29,8 @@
 MAX_AGE_SECONDS = 86_400
 # States that wait for the store; of each combination of parts only the newest one.
 MAX_UNWRITTEN = 64
+# The store refuses objects that are too large.
+MAX_PARTS = 128
 # Bounds of what entries may hold; larger values are errors of their writers.
 MAX_SEQUENCE = 2**30
 MAX_TRIAL_COUNT = 100
@@ -98,10 +100,11 @@
     def _record(self, finding: Finding) -> None:
         match finding:
             case Quarantine():
-                if len(self._unwritten) < MAX_UNWRITTEN:
+                is_storable = len(finding.parts) <= MAX_PARTS
+                if is_storable and len(self._unwritten) < MAX_UNWRITTEN:
                     self._unwritten[finding.parts] = finding
                     self._has_unwritten.set()
-            case CrashReport() | SoundStart():
+            case CrashReport() | SoundAnswer():
                 # Not kept: they count for two minutes only.
                 pass
 
--- a/packages/gateway/eelgrassdale_gateway/quarantine/exchange.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/exchange.py
@@ -1,4 +1,4 @@
-"""Shares crashes, sound starts and quarantines between gateways.
+"""Shares crashes, sound answers and quarantines between gateways.
 
 A finding goes to all peers at once and is repeated twice, since datagrams may be lost.
 Gateways that were away learn of the quarantines when a peer first hears from them, and
@@ -10,6 +10,9 @@
 from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from random import Random
 
+import structlog
+from attrs import frozen
+
 from eelgrassdale.clock import Clock
 from eelgrassdale_gateway.broadcasting import Broadcaster
 from eelgrassdale_gateway.messages import (
@@ -20,20 +23,45 @@
     encode,
 )
 from eelgrassdale_gateway.quarantine.evidence import CrashReport
+from eelgrassdale_gateway.quarantine.pieces import (
+    MAX_PARTS_PER_PIECE,
+    PieceJoiner,
+    parts_digest,
+    pieces_of,
+)
 from eelgrassdale_gateway.quarantine.state import (
     Finding,
     PromptQuarantine,
     Quarantine,
-    SoundStart,
+    SoundAnswer,
 )
 
 INTERVAL_SECONDS = 0.25
 # Keeps a datagram within the size that networks carry in a few packets.
 MAX_FINDINGS_PER_DATAGRAM = 16
-MAX_PARTS = 16
+MAX_PARTS_PER_DATAGRAM = 64
+# A quarantine of more parts is not sent: the other gateways find it from the crashes.
+MAX_PARTS_PER_QUARANTINE = 128
 
 Address = tuple[str, int]
 
+log = structlog.get_logger(__name__)
+
+
+@frozen(kw_only=True)
+class _Item:
+    """A finding, or a piece of one whose parts together have the digest."""
+
+    finding: Finding
+    digest: str = ""
+
+    @property
+    def size(self) -> int:
+        """Number of parts that it names."""
+        if isinstance(self.finding, SoundAnswer):
+            return 1
+        return len(self.finding.parts)
+
 
 class QuarantineExchange:
     """Sends the findings of one gateway and applies those of others.
@@ -69,6 +97,7 @@
             send=lambda data, address: self._send(data, address),
             encode=self._encode,
         )
+        self._piece_joiner = PieceJoiner()
         self._is_send_due = False
         quarantine.subscribe(self.publish)
 
@@ -99,38 +128,38 @@
             self._send(data, address)
 
     def handle(self, message: PromptNotice) -> None:
-        """Apply the findings of a peer, sound starts first."""
+        """Apply the findings of a peer, sound answers first."""
         now = self._clock.monotonic()
-        for finding in _findings(message, now):
+        for finding in _findings(message, now, self._piece_joiner):
             self._quarantine.merge(finding)
 
     def _encode(self, findings: Iterable[Finding]) -> Iterable[bytes]:
-        listed = list(findings)
-        for start in range(0, len(listed), MAX_FINDINGS_PER_DATAGRAM):
-            yield encode(
-                self._notice(listed[start : start + MAX_FINDINGS_PER_DATAGRAM])
-            )
+        for batch in _batches(findings):
+            yield encode(self._notice(batch))
 
-    def _notice(self, findings: Iterable[Finding]) -> PromptNotice:
+    def _notice(self, batch: Iterable[_Item]) -> PromptNotice:
         now = self._clock.monotonic()
         notice = PromptNotice(crashes=[], sound_starts=[], quarantines=[])
-        for finding in findings:
-            match finding:
-                case CrashReport():
+        for item in batch:
+            match item.finding:
+                case CrashReport() as finding:
                     notice.crashes.append(
                         CrashNotice(
                             server=finding.server,
                             parts=sorted(finding.parts),
                             age_ms=_milliseconds(now - finding.at),
+                            digest=item.digest,
                         )
                     )
-                case SoundStart():
+                case SoundAnswer() as finding:
                     notice.sound_starts.append(
                         SoundNotice(
-                            part=finding.part, age_ms=_milliseconds(now - finding.at)
+                            part=finding.part,
+                            age_ms=_milliseconds(now - finding.at),
+                            is_complete=finding.is_complete,
                         )
                     )
-                case Quarantine():
+                case Quarantine() as finding:
                     notice.quarantines.append(
                         QuarantineNotice(
                             parts=sorted(finding.parts),
@@ -144,21 +173,62 @@
         return notice
 
 
-def _findings(message: PromptNotice, now: float) -> Iterator[Finding]:
+def _batches(findings: Iterable[Finding]) -> Iterator[list[_Item]]:
+    """Yield the findings in groups that fit into one datagram each."""
+    batch: list[_Item] = []
+    part_count = 0
+    for item in _items(findings):
+        is_full = len(batch) == MAX_FINDINGS_PER_DATAGRAM
+        if batch and (is_full or part_count + item.size > MAX_PARTS_PER_DATAGRAM):
+            yield batch
+            batch, part_count = [], 0
+        batch.append(item)
+        part_count += item.size
+    if batch:
+        yield batch
+
+
+def _items(findings: Iterable[Finding]) -> Iterator[_Item]:
+    """Yield the findings that can be sent."""
+    for finding in findings:
+        match finding:
+            case CrashReport(parts=parts) if len(parts) > MAX_PARTS_PER_PIECE:
+                digest = parts_digest(parts)
+                for piece in pieces_of(finding):
+                    yield _Item(finding=piece, digest=digest)
+            case Quarantine(parts=parts) if len(parts) > MAX_PARTS_PER_QUARANTINE:
+                log.warning("quarantine not shared", part_count=len(parts))
+            case _:
+                yield _Item(finding=finding)
+
+
+def _findings(
+    message: PromptNotice, now: float, piece_joiner: PieceJoiner
+) -> Iterator[Finding]:
     """Yield the valid findings of a message.
 
-    One without parts is malformed: a quarantine of no parts would refuse all requests.
+    A quarantine without parts is malformed: it would refuse all requests. So is one of
+    too many, which would refuse more if some of them were left out.
     """
     for notice in (message.sound_starts or ())[:MAX_FINDINGS_PER_DATAGRAM]:
         if notice.part:
-            yield SoundStart(part=notice.part, at=_time(now, notice.age_ms))
+            yield SoundAnswer(
+                part=notice.part,
+                at=_time(now, notice.age_ms),
+                is_complete=bool(notice.is_complete),
+            )
     for notice in (message.crashes or ())[:MAX_FINDINGS_PER_DATAGRAM]:
-        if notice.server and (parts := _parts(notice.parts)):
-            yield CrashReport(
+        parts = _parts(notice.parts)
+        if notice.server and len(parts) <= MAX_PARTS_PER_PIECE:
+            piece = CrashReport(
                 server=notice.server, parts=parts, at=_time(now, notice.age_ms)
             )
+            report = piece_joiner.add(piece, digest=notice.digest or "")
+            if report is not None:
+                yield report
     for notice in (message.quarantines or ())[:MAX_FINDINGS_PER_DATAGRAM]:
-        if parts := _parts(notice.parts):
+        parts = _parts(notice.parts)
+        if 0 < len(parts) <= MAX_PARTS_PER_QUARANTINE:
             yield Quarantine(
                 parts=parts,
                 sequence=notice.sequence or 0,
@@ -170,7 +240,7 @@
 
 
 def _parts(names: Sequence[str] | None) -> frozenset[str]:
-    return frozenset(name for name in (names or ())[:MAX_PARTS] if name)
+    return frozenset(name for name in names or () if name)
 
 
 def _time(now: float, age_ms: int | None) -> float:
--- a/packages/gateway/eelgrassdale_gateway/quarantine/state.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/state.py
@@ -1,41 +1,49 @@
 """What one gateway knows of prompts that end backend servers, and which it refuses."""
 
-from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import structlog
 from attrs import define, evolve, field, frozen
 
 from eelgrassdale.clock import Clock
 from eelgrassdale_gateway.quarantine.evidence import (
+    MAX_CRASHES,
     CrashReport,
-    counted_crashes,
-    parts_at_fault,
+    count_moments,
+    is_sound,
 )
+from eelgrassdale_gateway.quarantine.history import CrashHistory
 from eelgrassdale_gateway.shares import GatewayGroup, share_of_count
 
-# Bounds of what is remembered, whatever callers send.
-MAX_REPORTS = 128
+# Bound of what is remembered, whatever callers send.
 MAX_QUARANTINES = 64
-MAX_SOUND_PARTS = 4096
-# Crashes further apart than this are not taken together.
-REPORT_LIFETIME_SECONDS = 120.0
 # Time until one request is let through as a trial. It doubles with each trial, as a
 # failed one costs a backend server.
 FIRST_TRIAL_SECONDS = 60.0
 MAX_TRIAL_INTERVAL_SECONDS = 3600.0
 # A quarantine whose trial is overdue for this time is forgotten.
 OVERDUE_SECONDS = 3600.0
+# Servers after whose end a request is not sent again. A request that lost its server
+# between the head of the answer and the first event is suspect at once, as few are in
+# that state; others may have been waiting there. Where answers with the part have begun
+# elsewhere, servers probably fail for another reason.
+SUSPECT_CRASHES_AS_ANSWER_BEGAN = 1
+SUSPECT_CRASHES = 2
+SUSPECT_CRASHES_OF_BEGUN_PART = MAX_CRASHES // 2
 
 log = structlog.get_logger(__name__)
 
 
 @frozen(kw_only=True)
-class SoundStart:
-    """An answer to a prompt with `part` got beyond its beginning at the time `at`."""
+class SoundAnswer:
+    """An answer to a prompt with `part` got beyond its beginning at the time `at`.
+
+    With `is_complete` it reached its end, which no answer does that ends its server.
+    """
 
     part: str
     at: float
+    is_complete: bool = True
 
 
 @frozen(kw_only=True)
@@ -55,12 +63,12 @@
     trial_at: float
 
 
-Finding = CrashReport | SoundStart | Quarantine
+Finding = CrashReport | SoundAnswer | Quarantine
 
 
 @define(kw_only=True, eq=False)
 class PromptQuarantine:
-    """Crashes, sound starts and quarantines, of this gateway and its peers.
+    """Crashes, sound answers and quarantines, of this gateway and its peers.
 
     Not thread-safe.
 
@@ -78,10 +86,12 @@
     >>> quarantine = PromptQuarantine(
     ...     clock=ManualClock(), gateway_group=single_gateway_group
     ... )
-    >>> quarantine.record_crash("s-1", frozenset({"a", "b"}))
+    >>> for server in ("s-1", "s-2"):
+    ...     quarantine.record_crash(server, frozenset({"a", "b"}))
+    ...     quarantine._clock.advance(seconds=1.0)
     >>> quarantine.is_suspect(frozenset({"a"})), quarantine.is_refused(frozenset({"a"}))
     (True, False)
-    >>> quarantine.record_start(frozenset({"a"}))
+    >>> quarantine.record_answer(frozenset({"a"}))
     >>> quarantine.is_suspect(frozenset({"a"})), quarantine.is_suspect(frozenset({"b"}))
     (False, True)
 
@@ -90,10 +100,9 @@
     _clock: Clock
     _gateway_group: Callable[[], GatewayGroup]
     _subscribers: list[Callable[[Finding], None]] = field(factory=list)
-    _reports: deque[CrashReport] = field(factory=lambda: deque(maxlen=MAX_REPORTS))
-    _sound_at: OrderedDict[str, float] = field(factory=OrderedDict)
+    _history: CrashHistory = field(factory=CrashHistory, init=False)
     _quarantines: dict[frozenset[str], Quarantine] = field(factory=dict)
-    # Parts in reports and quarantines, whose sound starts are of interest to peers.
+    # Parts in reports and quarantines, whose sound answers are of interest to peers.
     _watched_parts: set[str] = field(factory=set)
 
     def subscribe(self, on_finding: Callable[[Finding], None]) -> None:
@@ -108,9 +117,29 @@
             for quarantine in self._matching(parts)
         )
 
-    def is_suspect(self, parts: frozenset[str]) -> bool:
-        """Return whether a crash counts against any of these parts."""
-        return bool(parts) and not parts.isdisjoint(self._counted_crashes())
+    def is_suspect(
+        self, parts: frozenset[str], *, has_answer_begun: bool = False
+    ) -> bool:
+        """Return whether a request under which a server ended may end another one.
+
+        With `has_answer_begun`, the server ended between the head of its answer and
+        the first event.
+        """
+        if not parts or parts.isdisjoint(self._watched_parts):
+            return False
+        crashes = self._counted_crashes()
+        least = SUSPECT_CRASHES
+        if has_answer_begun:
+            least = SUSPECT_CRASHES_AS_ANSWER_BEGAN
+        return any(
+            count_moments(crashes[part].values())
+            >= (
+                SUSPECT_CRASHES_OF_BEGUN_PART
+                if self._history.has_begun(part)
+                else least
+            )
+            for part in parts & crashes.keys()
+        )
 
     def seconds_until_trial(self, parts: frozenset[str]) -> float:
         """Return the seconds until a refused request may be let through."""
@@ -142,24 +171,45 @@
             )
 
     def record_start(self, parts: frozenset[str]) -> None:
-        """Record that the answer to a prompt with these parts is under way."""
+        """Record that the answer to a prompt with these parts got its first event."""
+        now = self._clock.monotonic()
+        if not parts.isdisjoint(self._watched_parts):
+            for part in parts & self._counted_crashes().keys():
+                if not self._history.has_begun(part):
+                    self._publish(SoundAnswer(part=part, at=now, is_complete=False))
+        for part in parts:
+            self._history.set_begun(part, at=now)
+
+    def record_answer(self, parts: frozenset[str]) -> None:
+        """Record that the answer to a prompt with these parts was completed."""
         now = self._clock.monotonic()
         suspects = set()
         if not parts.isdisjoint(self._watched_parts):
             suspects = parts & (self._counted_crashes().keys() | self._active_parts())
         for part in parts:
-            self._set_sound(part, now)
+            self._history.set_sound(part, at=now)
         for part in suspects:
-            self._publish(SoundStart(part=part, at=now))
+            self._publish(SoundAnswer(part=part, at=now))
         if suspects:
             self._reduce_to_unsound()
 
-    def record_crash(self, server: str, parts: frozenset[str]) -> None:
-        """Record that a backend server ended as it began an answer."""
-        report = CrashReport(server=server, parts=parts, at=self._clock.monotonic())
-        self._add_report(report)
-        for part in parts & self._sound_at.keys():
-            self._publish(SoundStart(part=part, at=self._sound_at[part]))
+    def record_crash(
+        self, server: str, parts: frozenset[str], *, at: float | None = None
+    ) -> None:
+        """Record that a backend server ended while it held a request.
+
+        `at` is when the connection to it was lost, now by default.
+        """
+        at = self._clock.monotonic() if at is None else at
+        sound_at = self._history.sound_at
+        suspects = frozenset(
+            part for part in parts if not is_sound(sound_at.get(part), at=at)
+        )
+        report = CrashReport(server=server, parts=suspects, at=at)
+        if not self._add_report(report):
+            return
+        for part in parts & sound_at.keys():
+            self._publish(SoundAnswer(part=part, at=sound_at[part]))
         self._publish(report)
         for quarantine in self._quarantine_parts_at_fault():
             self._publish(quarantine)
@@ -169,24 +219,25 @@
         match finding:
             case CrashReport():
                 self._merge_report(finding)
-            case SoundStart():
-                self._merge_sound_start(finding)
+            case SoundAnswer():
+                self._merge_sound_answer(finding)
             case Quarantine():
                 self._merge_quarantine(finding)
 
     def _merge_report(self, report: CrashReport) -> None:
-        if (report.server, report.parts) in {
-            (r.server, r.parts) for r in self._reports
-        }:
-            return
-        self._add_report(report)
-        self._quarantine_parts_at_fault()
-
-    def _merge_sound_start(self, start: SoundStart) -> None:
-        if start.at > self._sound_at.get(start.part, float("-inf")):
-            self._set_sound(start.part, start.at)
+        if self._add_report(report):
+            self._quarantine_parts_at_fault()
+
+    def _merge_sound_answer(self, answer: SoundAnswer) -> None:
+        if not answer.is_complete:
+            self._history.set_begun(answer.part, at=answer.at)
+        elif answer.at > self._sound_at(answer.part):
+            self._history.set_sound(answer.part, at=answer.at)
             self._reduce_to_unsound()
 
+    def _sound_at(self, part: str) -> float:
+        return self._history.sound_at.get(part, float("-inf"))
+
     def _merge_quarantine(self, quarantine: Quarantine) -> None:
         known = self._quarantines.get(quarantine.parts)
         if known is not None and _rank(known) >= _rank(quarantine):
@@ -226,13 +277,8 @@
         )
 
     def _counted_crashes(self) -> dict[str, dict[str, float]]:
-        oldest = self._clock.monotonic() - REPORT_LIFETIME_SECONDS
-        while self._reports and self._reports[0].at < oldest:
-            self._reports.popleft()
-        return counted_crashes(
-            self._reports,
-            sound_at=self._sound_at,
-            known=[q.parts for q in self.active()],
+        return self._history.counted_crashes(
+            now=self._clock.monotonic(), known=[q.parts for q in self.active()]
         )
 
     def _quarantine_parts_at_fault(self) -> list[Quarantine]:
@@ -241,7 +287,7 @@
         while True:
             crashes = self._counted_crashes()
             known = [q.parts for q in self.active()]
-            parts = parts_at_fault(crashes, known=known)
+            parts = self._history.parts_at_fault(crashes, known=known)
             if not parts:
                 return new
             servers = crashes[min(parts)]
@@ -268,7 +314,7 @@
             unsound = frozenset(
                 part
                 for part in quarantine.parts
-                if self._sound_at.get(part, float("-inf")) < quarantine.evidence_at
+                if self._sound_at(part) < quarantine.evidence_at
             )
             if unsound == quarantine.parts:
                 continue
@@ -314,22 +360,15 @@
             del self._quarantines[next(lifted, next(iter(self._quarantines)))]
         self._watch_parts()
 
-    def _add_report(self, report: CrashReport) -> None:
-        self._reports.append(report)
-        self._watch_parts()
+    def _add_report(self, report: CrashReport) -> bool:
+        is_new = self._history.add_report(report)
+        if is_new:
+            self._watch_parts()
+        return is_new
 
     def _watch_parts(self) -> None:
-        watched: Iterable[frozenset[str]] = (
-            *(report.parts for report in self._reports),
-            *self._quarantines,
-        )
-        self._watched_parts = set().union(*watched)
-
-    def _set_sound(self, part: str, at: float) -> None:
-        self._sound_at[part] = at
-        self._sound_at.move_to_end(part)
-        while len(self._sound_at) > MAX_SOUND_PARTS:
-            self._sound_at.popitem(last=False)
+        self._watched_parts = set(self._history.reported_parts())
+        self._watched_parts.update(*self._quarantines)
 
 
 def _rank(quarantine: Quarantine) -> tuple[int, bool]:
--- a/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_archive.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_archive.py
@@ -9,7 +9,7 @@
 from eelgrassdale_gateway.quarantine import (
     PromptQuarantine,
     QuarantineArchive,
-    SoundStart,
+    SoundAnswer,
 )
 from eelgrassdale_gateway.quarantine.archive import MAX_AGE_SECONDS
 from eelgrassdale_gateway.shares import single_gateway_group
@@ -69,7 +69,8 @@
 
 def find_deadly_part(quarantine):
     for number in range(3):
-        quarantine.record_crash(f"s-{number}", DEADLY | {f"other-{number}"})
+        at = SystemClock().monotonic() - number
+        quarantine.record_crash(f"s-{number}", DEADLY | {f"other-{number}"}, at=at)
 
 
 def test_new_gateway_refuses_what_was_quarantined_before_all_restarted():
@@ -99,7 +100,7 @@
         def lift(quarantine):
             find_deadly_part(quarantine)
             now = SystemClock().monotonic()
-            quarantine.merge(SoundStart(part="x", at=now))
+            quarantine.merge(SoundAnswer(part="x", at=now))
 
         await run_gateway(store, lift)
         return store.objects
--- a/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_evidence.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_evidence.py
@@ -1,11 +1,14 @@
 """Tests of the decision which parts of prompts are at fault for crashes."""
 
 from eelgrassdale_gateway.quarantine.evidence import (
+    MAX_CRASHES,
     MIN_CRASHES,
+    SAME_MOMENT_SECONDS,
     SOUND_BEFORE_SECONDS,
     CrashReport,
     counted_crashes,
     parts_at_fault,
+    unexplained_ends,
 )
 
 
@@ -18,9 +21,14 @@
     ]
 
 
-def fault_of(crashes, *, sound_at=(), known=()):
-    counted = counted_crashes(reports(*crashes), sound_at=dict(sound_at), known=known)
-    return parts_at_fault(counted, known=known)
+def fault_of(crashes, *, sound_at=(), begun_at=(), known=(), spacing_seconds=1.0):
+    listed = reports(*crashes, spacing_seconds=spacing_seconds)
+    return parts_at_fault(
+        counted_crashes(listed, sound_at=dict(sound_at), known=known),
+        ends=unexplained_ends(listed, known=known),
+        begun_at=dict(begun_at),
+        known=known,
+    )
 
 
 def test_part_that_all_crashes_share_is_at_fault():
@@ -65,3 +73,22 @@
     crashes = ["ax", "by", "cx", "dy", "ex", "fy", "gx"]
     assert fault_of(crashes) == {"x"}
     assert fault_of(crashes, known=[frozenset("x")]) == {"y"}
+
+
+def test_servers_that_end_at_one_moment_are_one_crash():
+    """Guards against a new prompt that is refused as a data centre loses power."""
+    spacing_seconds = SAME_MOMENT_SECONDS / 20
+    assert fault_of(["ax"] * 10, spacing_seconds=spacing_seconds) == frozenset()
+
+
+def test_part_needs_more_crashes_where_servers_end_without_it():
+    """Guards against a rare sound prompt that meets servers that go down by turns."""
+    crashes = ["a", "x", "b", "c", "x", "d", "x"]
+    assert fault_of(crashes) == frozenset()
+    assert fault_of([*crashes, "x", "x"]) == {"x"}
+
+
+def test_part_with_which_answers_begin_needs_the_most_crashes():
+    """Guards against a common prompt that is refused as all servers fail in turn."""
+    assert fault_of("x" * (MAX_CRASHES - 1), begun_at={"x": 1.0}) == frozenset()
+    assert fault_of("x" * MAX_CRASHES, begun_at={"x": 1.0}) == {"x"}
--- a/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_exchange.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_exchange.py
@@ -15,6 +15,7 @@
     encode,
 )
 from eelgrassdale_gateway.quarantine import PromptQuarantine, QuarantineExchange
+from eelgrassdale_gateway.quarantine.exchange import MAX_PARTS_PER_QUARANTINE
 from eelgrassdale_gateway.shares import single_gateway_group
 
 TIMEOUT_SECONDS = 5.0
@@ -69,11 +70,17 @@
     return asyncio.run(run())
 
 
+def crash(quarantine, number):
+    """Record one of several crashes, a second after the next lower one."""
+    at = SystemClock().monotonic() - 10.0 + number
+    quarantine.record_crash(f"s-{number}", frozenset({"x", f"o-{number}"}), at=at)
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_crashes_seen_by_different_gateways_are_put_together(seed):
     async def scenario(network):
         for number, quarantine in enumerate(network.quarantines.values()):
-            quarantine.record_crash(f"s-{number}", frozenset({"x", f"o-{number}"}))
+            crash(quarantine, number)
         await network.all_refuse(frozenset({"x"}))
 
     run_network(scenario, count=3, seed=seed)
@@ -85,7 +92,7 @@
     async def scenario(network):
         first = next(iter(network.quarantines.values()))
         for number in range(3):
-            first.record_crash(f"s-{number}", frozenset({"x", f"o-{number}"}))
+            crash(first, number)
         await asyncio.sleep(1.0)
         network.add(("10.0.0.1", 99))
         await network.all_refuse(frozenset({"x"}))
@@ -97,7 +104,7 @@
     async def scenario(network):
         quarantine = next(iter(network.quarantines.values()))
         for number in range(100):
-            quarantine.record_start(frozenset({f"p-{number % 7}"}))
+            quarantine.record_answer(frozenset({f"p-{number % 7}"}))
         await asyncio.sleep(0.6)
 
     assert run_network(scenario, count=4).sent_bytes == 0
@@ -138,3 +145,31 @@
 
     run_network(scenario, count=2)
     assert 0 < max(sizes) < 4096
+
+
+def test_crash_under_a_prompt_of_many_parts_is_shared_whole():
+    """Guards against a deadly part that is left out behind many others."""
+    names = [f"o-{number:02}" for number in range(100)]
+
+    async def scenario(network):
+        for number, quarantine in enumerate(network.quarantines.values()):
+            at = SystemClock().monotonic() - 10.0 + number
+            own = {f"own-{number}"}
+            quarantine.record_crash(f"s-{number}", frozenset(names) | own, at=at)
+        await network.all_refuse(frozenset(names))
+        assert not any(
+            quarantine.is_refused(frozenset(names[:-1]))
+            for quarantine in network.quarantines.values()
+        )
+
+    run_network(scenario, count=3, loss=0.0)
+
+
+def test_quarantine_of_too_many_parts_is_dropped_whole():
+    """Guards against a quarantine that refuses more prompts as it lacks some parts."""
+    network = Network(count=1)
+    exchange = next(iter(network.exchanges.values()))
+    parts = [f"o-{number:03}" for number in range(MAX_PARTS_PER_QUARANTINE + 1)]
+    notice = QuarantineNotice(parts=parts, is_active=True, sequence=1)
+    exchange.handle(decode(encode(PromptNotice(quarantines=[notice]))))
+    assert next(iter(network.quarantines.values())).states() == []
--- a/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_state.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_state.py
@@ -7,14 +7,17 @@
 from eelgrassdale.clock import ManualClock
 from eelgrassdale_gateway.quarantine import state as state_module
 from eelgrassdale_gateway.quarantine.evidence import CrashReport
+from eelgrassdale_gateway.quarantine.history import (
+    MAX_REPORTED_PARTS,
+    MAX_REPORTS,
+    MAX_SOUND_PARTS,
+)
 from eelgrassdale_gateway.quarantine.state import (
     FIRST_TRIAL_SECONDS,
     MAX_QUARANTINES,
-    MAX_REPORTS,
-    MAX_SOUND_PARTS,
     PromptQuarantine,
     Quarantine,
-    SoundStart,
+    SoundAnswer,
 )
 from eelgrassdale_gateway.shares import GatewayGroup, single_gateway_group
 
@@ -51,13 +54,13 @@
     assert not any(refuses(quarantine, prompt) for prompt in ["a", "ab", "c", ""])
 
 
-def test_sound_start_ends_the_suspicion_of_a_part_and_is_shared_once(clock):
+def test_sound_answer_ends_the_suspicion_of_a_part_and_is_shared_once(clock):
     quarantine, findings = make_quarantine(clock)
     crash(quarantine, clock, "ax", "bx")
     assert quarantine.is_suspect(frozenset("x"))
     findings.clear()
-    quarantine.record_start(frozenset("x"))
-    quarantine.record_start(frozenset("x"))
+    quarantine.record_answer(frozenset("x"))
+    quarantine.record_answer(frozenset("x"))
     assert not quarantine.is_suspect(frozenset("x"))
     assert [finding.part for finding in findings] == ["x"]
 
@@ -66,16 +69,16 @@
     """Guards against a false quarantine that never ends, as nothing tests it."""
     quarantine, findings = make_quarantine(clock)
     crash(quarantine, clock, "ax", "bx", "cx")
-    quarantine.merge(SoundStart(part="x", at=clock.monotonic() - 1.5))
+    quarantine.merge(SoundAnswer(part="x", at=clock.monotonic() - 1.5))
     assert not refuses(quarantine, "dx")
     assert findings[-1].is_active is False
 
 
-def test_sound_start_of_one_part_narrows_a_combination(clock):
+def test_sound_answer_of_one_part_narrows_a_combination(clock):
     quarantine, _ = make_quarantine(clock)
     crash(quarantine, clock, "ax", "ax", "ax")
     assert not refuses(quarantine, "bx")
-    quarantine.merge(SoundStart(part="a", at=clock.monotonic()))
+    quarantine.merge(SoundAnswer(part="a", at=clock.monotonic()))
     assert refuses(quarantine, "bx")
     assert not refuses(quarantine, "a")
 
@@ -111,18 +114,36 @@
     findings.clear()
     clock.advance(seconds=FIRST_TRIAL_SECONDS)
     quarantine.record_send(frozenset("dx"))
-    quarantine.record_start(frozenset("dx"))
+    quarantine.record_answer(frozenset("dx"))
     for finding in findings:
         other.merge(finding)
     assert not refuses(quarantine, "dx")
     assert not refuses(other, "dx")
 
 
+def test_begun_answer_does_not_lift_a_quarantine(clock):
+    """Guards against a part that ends servers some events after the first one."""
+    quarantine, _ = make_quarantine(clock)
+    crash(quarantine, clock, "ax", "bx", "cx")
+    quarantine.record_start(frozenset("x"))
+    quarantine.merge(SoundAnswer(part="x", at=clock.monotonic(), is_complete=False))
+    assert refuses(quarantine, "dx")
+
+
+def test_several_requests_of_one_server_are_one_crash_report(clock):
+    """Guards against reports of one crash that push those of others out."""
+    quarantine, _ = make_quarantine(clock)
+    for number in range(2 * MAX_REPORTS):
+        quarantine.record_crash("s-1", frozenset({"x", f"o-{number}"}))
+    assert len(quarantine._history.reports) == 1
+    assert not refuses(quarantine, "x")
+
+
 def test_old_state_does_not_replace_a_newer_one(clock):
     quarantine, findings = make_quarantine(clock)
     crash(quarantine, clock, "ax", "bx", "cx")
     old = findings[-1]
-    quarantine.merge(SoundStart(part="x", at=clock.monotonic()))
+    quarantine.merge(SoundAnswer(part="x", at=clock.monotonic()))
     quarantine.merge(old)
     assert not refuses(quarantine, "dx")
 
@@ -131,7 +152,9 @@
     quarantine, findings = make_quarantine(clock)
     for number in range(3):
         report = CrashReport(
-            server=f"s-{number}", parts=frozenset({"x", str(number)}), at=100.0
+            server=f"s-{number}",
+            parts=frozenset({"x", str(number)}),
+            at=100.0 + number,
         )
         quarantine.merge(report)
         quarantine.merge(report)
@@ -144,7 +167,7 @@
     quarantine, _ = make_quarantine(clock)
     rng = Random(1)
     for number in range(2 * MAX_SOUND_PARTS):
-        quarantine.record_start(frozenset({f"p-{number}"}))
+        quarantine.record_answer(frozenset({f"p-{number}"}))
     for number in range(3 * MAX_REPORTS):
         quarantine.record_crash(f"s-{number}", frozenset({f"x-{rng.random()}"}))
     for number in range(2 * MAX_QUARANTINES):
@@ -158,8 +181,13 @@
                 trial_at=clock.monotonic(),
             )
         )
-    assert len(quarantine._sound_at) == MAX_SOUND_PARTS
-    assert len(quarantine._reports) == MAX_REPORTS
+    assert len(quarantine._history.sound_at) == MAX_SOUND_PARTS
+    assert len(quarantine._history.reports) == MAX_REPORTS
+    large = frozenset(f"y-{number}" for number in range(MAX_REPORTED_PARTS // 2))
+    for number in range(4):
+        quarantine.record_crash(f"t-{number}", large)
+    reported = sum(len(report.parts) for report in quarantine._history.reports.values())
+    assert reported <= MAX_REPORTED_PARTS
     assert len(quarantine.states()) == MAX_QUARANTINES
 
 
--- a/packages/gateway/eelgrassdale_gateway/retryrules.py
+++ b/packages/gateway/eelgrassdale_gateway/retryrules.py
@@ -2,7 +2,14 @@
 
 from eelgrassdale.results import ResultCode
 from eelgrassdale_gateway.calls import Call
-from eelgrassdale_gateway.outcomes import Lost, NotRun, Outcome
+from eelgrassdale_gateway.outcomes import (
+    Answered,
+    Lost,
+    NotRun,
+    Outcome,
+    Relayed,
+    Withdrawn,
+)
 
 # Sends of one request after which further refusals are not retried.
 MAX_SENDS = 4
@@ -21,11 +28,35 @@
     return ""
 
 
-def has_ended_its_server(call: Call, outcome: Outcome) -> bool:
-    """Return whether the server's connection ended as it began to answer.
+def lost_its_server(outcome: Outcome) -> bool:
+    """Return whether the backend server closed the connection, and may have ended.
 
-    A server that ends under a request does so before the first event. Requests that
-    are merely running there had events before, or no head yet.
+    How far the response had come says nothing: a request may end its server before the
+    head of the response, and where a response has no length, it looks complete then.
+    """
+    match outcome:
+        case Lost() | Answered() | Relayed():
+            return outcome.is_disconnected
+        case NotRun() | Withdrawn():
+            return False
+
+
+def is_sound_answer(outcome: Outcome) -> bool:
+    """Return whether a response is complete and the backend server's work succeeded."""
+    match outcome:
+        case Relayed():
+            return True
+        case Answered(head=head):
+            return head.status < 300
+        case _:
+            return False
+
+
+def lost_server_as_answer_began(call: Call, outcome: Outcome) -> bool:
+    """Return whether the connection ended between the head and the first event.
+
+    Few requests are in that state at any moment. Those that are merely running at a
+    backend server had events before, or no head yet.
     """
     return (
         isinstance(outcome, Lost)
--- a/packages/gateway/eelgrassdale_gateway/telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/telemetry.py
@@ -84,7 +84,7 @@
             waited=round(waited_seconds, 3),
             late=is_late,
             configuration=table_version,
-            parts=",".join(admitted.shared_parts),
+            parts=admitted.logged_parts,
         )
 
     def record_response_start(self, *, service: str, seconds: float) -> None:
@@ -117,7 +117,7 @@
             attempt=call.send_count,
             has_head=call.attempt_has_head,
             attempt_events=call.attempt_event_count,
-            parts=",".join(call.admitted.shared_parts),
+            parts=call.admitted.logged_parts,
         )
 
     def record_advisory(
--- a/packages/gateway/eelgrassdale_gateway/tests/harness.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/harness.py
@@ -60,13 +60,22 @@
     received: list[dict] = field(factory=list)
     closed: asyncio.Event = field(factory=asyncio.Event)
     address: tuple[str, int] = ("", 0)
+    _server: asyncio.Server | None = None
+    _writers: set[asyncio.StreamWriter] = field(factory=set)
 
     async def start(self) -> None:
         """Listen on a port chosen by the operating system."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = server.sockets[0].getsockname()
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.address = self._server.sockets[0].getsockname()
+
+    def end(self) -> None:
+        """End as a process that crashes: close the port and all connections."""
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
 
     async def _serve(self, reader, writer) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
@@ -79,6 +88,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed.set()
         finally:
+            self._writers.discard(writer)
             writer.close()
 
 
--- a/packages/gateway/eelgrassdale_gateway/tests/test_cut_responses.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_cut_responses.py
@@ -267,9 +267,17 @@
 def test_server_that_ends_as_it_begins_an_answer_without_length_counts_as_crashed():
     """Guards against deadly prompts that go unnoticed where answers are unframed."""
 
+    async def begin_and_end(req, writer):
+        await unframed_stream()(req, writer)
+        backend.end()
+
+    backend = ScriptedBackend(reply=begin_and_end)
+
     async def scenario(harness):
-        await harness.start("engine", ScriptedBackend(reply=unframed_stream()))
+        await harness.start("engine", backend)
         await harness.send_request("/once/", t_model="m", t_parts="x:40,own:9")
-        return harness.dispatcher.quarantine.is_suspect(frozenset({"m/x"}))
+        return harness.dispatcher.quarantine.is_suspect(
+            frozenset({"m/x"}), has_answer_begun=True
+        )
 
     assert run_scenario(scenario)
