Deliver answers that are read slowly before closing

One that paused for 6 s was reset.

Cause: `drain` returns while 32 kB are still with the process, and the abort after 0.5 s discards them. TCP_USER_TIMEOUT of 2.5 s undercuts the limit of 8 s for slow readers. An idle connection with unsent bytes did not hold up the exit.

Ruled out: the exit of the process; answers are cut while it runs.

Change: bytes are handed to the kernel before a close, within the limit for slow readers; the kernel's limit is 10 s while a response is on its way; a connection with unsent bytes counts as busy.

That the users' own run showed this fault at a SIGTERM is only suspected.

--- /dev/null
+++ b/packages/core/eelgrassdale/http1/callerconnection.py
@@ -0,0 +1,348 @@
+"""A caller's connection to a server: its requests, one after the other."""
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import h11
+import structlog
+from attrs import frozen
+
+from eelgrassdale.http1.exchange import Exchange
+from eelgrassdale.http1.memory import ByteBudget, MemoryExhausted
+from eelgrassdale.http1.messages import (
+    Headers,
+    Request,
+    decode_headers,
+    encode_headers,
+    get_header,
+    header_size,
+)
+from eelgrassdale.http1.parsing import MessageParser
+from eelgrassdale.http1.receiving import Receiver
+from eelgrassdale.http1.sockets import (
+    RESPONSE_UNACKED_TIMEOUT_MS,
+    UNACKED_TIMEOUT_MS,
+    enable_keepalive,
+    has_unread_bytes,
+    set_unacked_timeout,
+)
+
+# Unsent bytes of a response before `Exchange.write` waits for a slow reader.
+WRITE_BUFFER_BYTES = 32_768
+# A caller that reads too little for a write to finish in this time is
+# disconnected. The limit of unacknowledged bytes is longer.
+STALLED_READER_SECONDS = 8.0
+# Pipelined bytes after a request that are buffered while it is handled.
+READ_AHEAD_BYTES = 65_536
+# Time for a caller to read an error before its connection is closed.
+LINGER_SECONDS = 0.5
+# After this time, callers may send a request again whose body did not fit.
+MEMORY_RETRY_SECONDS = 1
+
+log = structlog.get_logger(__name__)
+
+
+@frozen(kw_only=True)
+class CallerLimits:
+    """Limits on what a caller sends, in bytes, and how long it takes, in seconds."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_seconds: float = 3.0
+    body_seconds: float = 10.0
+    idle_seconds: float = 15.0
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class ConnectionOwner(Protocol):
+    """The server to which a connection belongs."""
+
+    body_memory: ByteBudget
+    handler: Handler
+    limits: Callable[[], CallerLimits]
+    is_draining: bool
+    active_requests: int
+
+    def keeps_connections(self) -> bool:
+        """Return whether a connection may be used again after a response."""
+        ...
+
+
+class CallerConnection:
+    """Reads the requests of one connection and passes each to the server's handler."""
+
+    def __init__(
+        self,
+        *,
+        server: ConnectionOwner,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        enable_keepalive(writer.get_extra_info("socket"))
+        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._server = server
+        self._receiver = Receiver(reader=reader)
+        self._writer = writer
+        self._body_memory = server.body_memory.reservation()
+        self.is_idle = True
+        self._parser = MessageParser(
+            role=h11.SERVER, max_head_bytes=server.limits().header_bytes
+        )
+
+    async def run(self) -> None:
+        """Serve requests until the connection ends."""
+        try:
+            await self._serve_requests()
+        finally:
+            self._body_memory.release()
+
+    async def _serve_requests(self) -> None:
+        while True:
+            exchange = await self._next_exchange()
+            if exchange is None:
+                await self._flush()
+                return
+            await self._handle(exchange)
+            self._body_memory.release()
+            if not exchange.is_finished or self._parser.our_state is not h11.DONE:
+                await self._close_after_response(exchange)
+                return
+            may_go_on = self._parser.has_bytes_ahead or self._server.keeps_connections()
+            if self._parser.their_state is not h11.DONE or not may_go_on:
+                await self._close_after_response(exchange)
+                return
+            self._parser.start_next_cycle()
+
+    def abort(self) -> None:
+        """Close the connection immediately."""
+        self._receiver.cancel_read()
+        self._writer.transport.abort()
+
+    def is_busy(self) -> bool:
+        """Return whether a request is handled, or a response not yet sent whole."""
+        return not self.is_idle or self._writer.transport.get_write_buffer_size() > 0
+
+    def close_if_idle(self) -> None:
+        """Close the connection unless a request has begun."""
+        if self.is_idle:
+            self._writer.close()
+
+    def pause_reading(self) -> None:
+        """Read nothing until `resume_reading`."""
+        self._writer.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read what the caller sends."""
+        self._writer.transport.resume_reading()
+
+    def close_if_unused(self) -> None:
+        """Close an idle connection, unless a request has reached the kernel."""
+        if self.is_idle and not has_unread_bytes(self._writer.get_extra_info("socket")):
+            self._writer.close()
+
+    async def send_head(self, status: int, headers: Headers) -> None:
+        """Send status and headers of a response."""
+        self._set_unacked_timeout(RESPONSE_UNACKED_TIMEOUT_MS)
+        if self._server.is_draining and not get_header(headers, "connection"):
+            headers = (*headers, ("connection", "close"))
+        await self.send(
+            h11.Response(status_code=status, headers=encode_headers(headers))
+        )
+
+    async def send(self, event: h11.Event) -> None:
+        """Send a part of a response; waits for a slow reader."""
+        data = self._parser.send(event)
+        if data:
+            self._writer.write(data)
+        await self._drain()
+
+    def _set_unacked_timeout(self, milliseconds: int) -> None:
+        sock = self._writer.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            # The connection may have been lost meanwhile.
+            set_unacked_timeout(sock, milliseconds)
+
+    async def _drain(self) -> None:
+        try:
+            async with asyncio.timeout(STALLED_READER_SECONDS):
+                await self._writer.drain()
+        except TimeoutError:
+            self.abort()
+            raise ConnectionAbortedError(
+                "caller did not read its response in time"
+            ) from None
+
+    async def _next_exchange(self) -> Exchange | None:
+        try:
+            request = await self._read_request()
+        except h11.RemoteProtocolError as exc:
+            await self._refuse(exc.error_status_hint, str(exc))
+            return None
+        except _RequestRefused as exc:
+            await self._refuse(exc.status, str(exc))
+            return None
+        if request is None:
+            return None
+        return Exchange(request=request, connection=self)
+
+    async def _read_request(self) -> Request | None:
+        limits = self._server.limits()
+        head = await self._read_head(limits)
+        if head is None:
+            return None
+        # A caller that asks again has read the last response.
+        self._set_unacked_timeout(UNACKED_TIMEOUT_MS)
+        headers = decode_headers(head.headers)
+        if header_size(headers) > limits.header_bytes:
+            raise _RequestRefused(431, f"headers exceed {limits.header_bytes} bytes")
+        declared = get_header(headers, "content-length")
+        if declared and int(declared) > limits.body_bytes:
+            raise _RequestRefused(413, f"body exceeds {limits.body_bytes} bytes")
+        if self._parser.they_are_waiting_for_100_continue:
+            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        return Request(
+            method=head.method.decode("latin-1"),
+            target=head.target.decode("latin-1"),
+            headers=headers,
+            body=await self._read_body(limits),
+        )
+
+    async def _read_head(self, limits: CallerLimits) -> h11.Request | None:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limits.idle_seconds
+        has_begun = False
+        while (event := self._parser.next_event()) is h11.NEED_DATA:
+            self.is_idle = not has_begun and not self._parser.has_bytes_ahead
+            if not self.is_idle and not has_begun:
+                has_begun = True
+                deadline = loop.time() + limits.header_seconds
+            try:
+                data = await self._receiver.receive(timeout=deadline - loop.time())
+            except TimeoutError:
+                if not has_begun:
+                    return None
+                raise _RequestRefused(408, "headers not received in time") from None
+            self._parser.receive_data(data)
+        self.is_idle = False
+        return event if isinstance(event, h11.Request) else None
+
+    async def _read_body(self, limits: CallerLimits) -> bytes:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + limits.body_seconds
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = self._parser.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                return b"".join(parts)
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limits.body_bytes:
+                    raise _RequestRefused(
+                        413, f"body exceeds {limits.body_bytes} bytes"
+                    )
+                self._reserve_body_memory(size)
+                parts.append(bytes(event.data))
+                if self._parser.has_bytes_ahead:
+                    # Other tasks run between two pieces that arrived together.
+                    await asyncio.sleep(0)
+                continue
+            try:
+                data = await self._receiver.receive(timeout=deadline - loop.time())
+            except TimeoutError:
+                raise _RequestRefused(408, "body not received in time") from None
+            self._parser.receive_data(data)
+
+    def _reserve_body_memory(self, size: int) -> None:
+        try:
+            self._body_memory.resize(size)
+        except MemoryExhausted as exc:
+            raise _RequestRefused(503, f"memory for bodies: {exc}") from None
+
+    async def _refuse(self, status: int, reason: str) -> None:
+        log.info("request refused before it was read", status=status, reason=reason)
+        if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        body = f"{reason}\n".encode()
+        headers = (
+            ("content-type", "text/plain"),
+            ("content-length", str(len(body))),
+            ("connection", "close"),
+        )
+        if status == 503:
+            headers += (("retry-after", str(MEMORY_RETRY_SECONDS)),)
+        with contextlib.suppress(OSError, h11.LocalProtocolError):
+            await self.send_head(status, headers)
+            await self.send(h11.Data(data=body))
+            await self.send(h11.EndOfMessage())
+            await self._linger()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        """Run the handler, and cancel it when the caller closes the connection."""
+        self._server.active_requests += 1
+        task = asyncio.ensure_future(self._server.handler(exchange))
+        try:
+            await self._wait_for_handler(task)
+        finally:
+            if not task.done():
+                task.cancel()
+            with contextlib.suppress(asyncio.CancelledError, OSError):
+                await task
+            self._server.active_requests -= 1
+
+    async def _wait_for_handler(self, task: "asyncio.Future[None]") -> None:
+        """Wait until the handler ends or the caller closes the connection.
+
+        Bytes of pipelined requests are passed to the parser meanwhile.
+        """
+        bytes_ahead = 0
+        while not task.done() and bytes_ahead < READ_AHEAD_BYTES:
+            read = self._receiver.pending_read()
+            await asyncio.wait((task, read), return_when=asyncio.FIRST_COMPLETED)
+            if not read.done():
+                continue
+            if task.done() or read.cancelled():
+                # `abort` cancels the read; the connection is closed then.
+                return
+            data = self._receiver.take_result()
+            if not data:
+                log.debug("caller closed its connection")
+                return
+            self._parser.receive_data(data)
+            bytes_ahead += len(data)
+        await asyncio.wait((task,))
+
+    async def _close_after_response(self, exchange: Exchange) -> None:
+        if exchange.is_finished:
+            await self._linger()
+        else:
+            self.abort()
+
+    async def _flush(self) -> None:
+        """Wait until the kernel has all bytes, which it delivers after the close."""
+        self._writer.transport.set_write_buffer_limits(high=0)
+        with contextlib.suppress(OSError):
+            await self._drain()
+
+    async def _linger(self) -> None:
+        """Wait for a slow reader; read and discard what the caller still sends.
+
+        Closing a socket with unread bytes sends a reset, which may destroy the
+        response before the caller has read it.
+        """
+        await self._flush()
+        with contextlib.suppress(OSError, TimeoutError):
+            self._writer.write_eof()
+            async with asyncio.timeout(LINGER_SECONDS):
+                while await self._receiver.receive(timeout=LINGER_SECONDS):
+                    pass
+
+
+class _RequestRefused(Exception):
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status = status
--- a/packages/core/eelgrassdale/http1/sockets.py
+++ b/packages/core/eelgrassdale/http1/sockets.py
@@ -10,6 +10,8 @@
 KEEPALIVE_INTERVAL_SECONDS = 1
 KEEPALIVE_PROBES = 2
 UNACKED_TIMEOUT_MS = 2500
+# While a response is on its way, its reader may pause for longer, with a window of 0.
+RESPONSE_UNACKED_TIMEOUT_MS = 10_000
 
 
 def enable_keepalive(sock: socket.socket) -> None:
@@ -20,7 +22,12 @@
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_SECONDS
     )
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
+    set_unacked_timeout(sock, UNACKED_TIMEOUT_MS)
+
+
+def set_unacked_timeout(sock: socket.socket, milliseconds: int) -> None:
+    """Set for how long sent bytes may stay unacknowledged, or the peer's window 0."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
 
 
 def has_unread_bytes(sock: socket.socket) -> bool:
--- a/packages/core/eelgrassdale/http1/tests/test_server.py
+++ b/packages/core/eelgrassdale/http1/tests/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the server against raw sockets."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -247,3 +248,110 @@
 
     serve(echo, client)
     assert "Unhandled" not in caplog.text
+
+
+SLOW_READER_BUFFER_BYTES = 16_384
+# Segments of an ordinary network path, with which the kernel's buffers fill sooner.
+SEGMENT_BYTES = 1_460
+
+
+class SlowReader:
+    """A caller that takes what has come after a pause, with a small buffer."""
+
+    def __init__(self, address):
+        self._sock = socket.socket()
+        self._sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_BUFFER_BYTES
+        )
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+        self._sock.connect(address)
+        self._sock.setblocking(False)
+
+    async def read_response(self, *, size, headers=b"", pauses):
+        """Ask, pause for the given seconds, and return whether the body was whole."""
+        loop = asyncio.get_running_loop()
+        request = b"GET / HTTP/1.1\r\nHost: a\r\n" + headers + b"\r\n"
+        await loop.sock_sendall(self._sock, request)
+        data = b""
+        for seconds in pauses:
+            await asyncio.sleep(seconds)
+            data += await loop.sock_recv(self._sock, 65_536)
+        while data.partition(b"\r\n\r\n")[2] != size * b"x":
+            try:
+                part = await loop.sock_recv(self._sock, 65_536)
+            except ConnectionError:
+                part = b""
+            if not part:
+                return False
+            data += part
+        return True
+
+    def close(self):
+        self._sock.close()
+
+
+def read_slowly(*, sizes, pauses, headers=b"", stop=None):
+    """Return the sizes of the responses that slow readers did not get whole."""
+
+    async def respond(exchange):
+        size = int(exchange.request.header("x-size"))
+        await exchange.respond(200, (), size * b"x")
+
+    async def run():
+        server = HttpServer(handler=respond)
+        address = await server.start("127.0.0.1", 0)
+        readers = [SlowReader(address) for _ in sizes]
+        try:
+            reads = [
+                asyncio.ensure_future(
+                    reader.read_response(
+                        size=size,
+                        headers=b"X-Size: %d\r\n" % size + headers,
+                        pauses=pauses,
+                    )
+                )
+                for reader, size in zip(readers, sizes, strict=True)
+            ]
+            await asyncio.sleep(0.3)
+            if stop is not None:
+                await stop(server)
+            results = await asyncio.gather(*reads)
+            return [
+                size
+                for size, is_whole in zip(sizes, results, strict=True)
+                if not is_whole
+            ]
+        finally:
+            for reader in readers:
+                reader.close()
+            server.stop_listening()
+            server.abort_all()
+
+    return asyncio.run(run())
+
+
+async def stop_gracefully(server):
+    """Stop as a program does that exits once no connection is busy."""
+    server.start_draining()
+    await server.stop_listening_gracefully()
+    async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+        while server.busy_connections:
+            await asyncio.sleep(0.05)
+    server.abort_all()
+
+
+@pytest.mark.parametrize("headers", [b"", b"Connection: close\r\n"])
+def test_response_that_is_read_slowly_is_whole_though_the_connection_ends(headers):
+    """Guards against the last bytes of a response that a close discards.
+
+    They were cut in a planned stop, and where the caller asks for the close. Which
+    sizes are cut depends on the buffers of the kernel.
+    """
+    stop = None if headers else stop_gracefully
+    sizes = [1_000, *range(20_000, 400_000, 5_000)]
+    assert read_slowly(sizes=sizes, pauses=[1.2, 1.2], headers=headers, stop=stop) == []
+
+
+def test_reader_that_pauses_within_the_limit_is_not_reset():
+    """Guards against a kernel limit that undercuts that for stalled readers."""
+    assert read_slowly(sizes=8 * [80_000], pauses=[6.0]) == []
