Let the retries of a new process grow over a window

Cause of what was found by reading: a new process began with its whole share of the slack, whatever the one before had used in the same window, and kept what it had got while few gateways were known.

Ruled out: sends that take no retry; all calls that send a request again take one or have not reached a server.

Change: one retry at once, the rest over the first window, whose length is read from the settings (RetryWindowS). The share shrinks at once when other gateways are known.

--- a/packages/gateway/eelgrassdale_gateway/gatewaysettings.py
+++ b/packages/gateway/eelgrassdale_gateway/gatewaysettings.py
@@ -12,9 +12,10 @@
     `version_grace_seconds` is how long an older model version may serve after
     operators set a newer one; `startup_grace_seconds` is the same from the start of
     this process for versions set before it. `retry_ratio` and `retry_slack` limit the
-    retries of all gateways together. `stop_seconds` is the time that the platform
-    gives the process to stop. `body_memory_bytes` limits the memory for the bodies of
-    all requests together, and as much for those of all responses.
+    retries of all gateways together in any `retry_window_seconds`. `stop_seconds` is
+    the time that the platform gives the process to stop. `body_memory_bytes` limits the
+    memory for the bodies of all requests together, and as much for those of all
+    responses.
     """
 
     name: str
@@ -28,5 +29,6 @@
     startup_grace_seconds: float = 2.5
     retry_ratio: float = 0.1
     retry_slack: float = 20.0
+    retry_window_seconds: float = 10.0
     stop_seconds: float = 8.0
     body_memory_bytes: int = 33_554_432
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -152,8 +152,10 @@
             ),
         )
         self._retry_budgets = RetryBudgets(
+            clock=self._clock,
             ratio=cfg.retry_ratio,
             slack=cfg.retry_slack,
+            window_seconds=cfg.retry_window_seconds,
             gateway_group=self._gateway_group,
         )
         self.forwarder = Forwarder(
@@ -229,6 +231,7 @@
         """
         self._retry_budgets.ratio = cfg.retry_ratio
         self._retry_budgets.slack = cfg.retry_slack
+        self._retry_budgets.window_seconds = cfg.retry_window_seconds
         self.routing_state.version_grace_seconds = cfg.version_grace_seconds
         for seed in cfg.seed_addresses:
             self.peers.table.add(seed)
@@ -236,6 +239,7 @@
             self.cfg,
             retry_ratio=cfg.retry_ratio,
             retry_slack=cfg.retry_slack,
+            retry_window_seconds=cfg.retry_window_seconds,
             version_grace_seconds=cfg.version_grace_seconds,
             stop_seconds=cfg.stop_seconds,
             seed_addresses=cfg.seed_addresses,
--- a/packages/gateway/eelgrassdale_gateway/retrybudgets.py
+++ b/packages/gateway/eelgrassdale_gateway/retrybudgets.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from eelgrassdale.clock import Clock
 from eelgrassdale.routing.retry import RetryBudget
 from eelgrassdale_gateway.shares import GatewayGroup
 
@@ -13,24 +14,44 @@
 SLACK_FRACTION = 0.5
 
 
+# Retries that a new process may send at once.
+INITIAL_RETRIES = 1.0
+
+
 @define(kw_only=True)
 class RetryBudgets:
     """One retry budget for each service.
 
+    The slack of a new process grows over the first window: the process that ran before
+    it may have used all of its own in the same window.
+
     Parameters
     ----------
+    clock : Clock
+        Source of monotonic time.
     ratio : float
         Retries that all gateways together may send per request.
     slack : float
         Further retries that all gateways together may send in one window.
+    window_seconds : float
+        Length of the windows, in seconds.
     gateway_group : callable
         Returns the gateways that share the budget.
     """
 
+    _clock: Clock
     ratio: float
     slack: float
+    window_seconds: float
     gateway_group: Callable[[], GatewayGroup]
-    _budgets: dict[str, RetryBudget] = field(factory=dict)
+    _budgets: dict[str, RetryBudget] = field(factory=dict, init=False)
+    # Slack that each service was given so far.
+    _given: dict[str, float] = field(factory=dict, init=False)
+    _started_at: float = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin the first window."""
+        self._started_at = self._clock.monotonic()
 
     def add_request(self, service: str) -> None:
         """Count a request, which earns a fraction of a retry."""
@@ -41,11 +62,22 @@
         return self._budget(service).try_acquire()
 
     def _budget(self, service: str) -> RetryBudget:
-        limit = max(1.0, SLACK_FRACTION * self.slack / self.gateway_group().count)
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = RetryBudget(tokens=limit)
-        # Both follow the settings, which may change, and the number of gateways.
+        limit = max(
+            INITIAL_RETRIES, SLACK_FRACTION * self.slack / self.gateway_group().count
+        )
+        budget = self._budgets.setdefault(service, RetryBudget(tokens=0.0))
+        # These follow the settings, which may change, and the number of gateways.
         budget.limit = limit
         budget.share = RATIO_FRACTION * self.ratio
+        given = self._given.get(service, 0.0)
+        due = max(given, INITIAL_RETRIES, limit * self._elapsed_fraction())
+        self._given[service] = due
+        budget.tokens = min(limit, budget.tokens + due - given)
         return budget
+
+    def _elapsed_fraction(self) -> float:
+        """Return the part of the first window that is over."""
+        elapsed_seconds = self._clock.monotonic() - self._started_at
+        if elapsed_seconds >= self.window_seconds:
+            return 1.0
+        return elapsed_seconds / self.window_seconds
--- a/packages/gateway/eelgrassdale_gateway/tests/harness.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/harness.py
@@ -220,7 +220,11 @@
                 header_names=HEADER_NAMES,
             ),
             retry_budgets=RetryBudgets(
-                ratio=0.2, slack=40.0, gateway_group=single_gateway_group
+                clock=clock,
+                ratio=0.2,
+                slack=40.0,
+                window_seconds=0.0,
+                gateway_group=single_gateway_group,
             ),
             header_names=HEADER_NAMES,
             telemetry=RequestTelemetry(),
