Keep a silent stream until another server can take it

A sound server may fall silent for a second or so and go on.

Cause: an attempt without an event for 1.5 s or more was given up before it was known whether another could follow. Where the retry was refused (service moved by the configuration, data centre out, retries used up, servers full), the stream was cut though its server went on.

Ruled out by reading: cancellation of handlers by a configuration; requests that are read and dropped. Every other path that cuts a stream needs a server that broke off, or the end of a stop.

Change: while a response stalls, another place is sought beside it. The attempt ends once there is one; without one, a response that has begun is awaited on, and one that has not begun is refused as before. What was taken for a place that is not needed is given back. What attempts tell of prompts has a module of its own.

That the users saw this is suspected.

--- a/packages/core/eelgrassdale/http1/client.py
+++ b/packages/core/eelgrassdale/http1/client.py
@@ -52,6 +52,8 @@
         self.keep_alive_seconds: float | None = None
         self.request_count = 0
         self.is_disconnected = False
+        # First bytes of the response, as far as they have arrived.
+        self._response_start = b""
         self._receiver = Receiver(reader=reader)
         self._writer = writer
         self._parser = MessageParser(
@@ -67,6 +69,7 @@
             If the connection failed; parts of the request may have arrived.
         """
         self.request_count += 1
+        self._response_start = b""
         headers = encode_headers(req.headers)
         if req.body or req.method not in ("GET", "HEAD", "DELETE"):
             headers.append((b"content-length", str(len(req.body)).encode()))
@@ -86,9 +89,11 @@
         except (OSError, h11.ProtocolError) as exc:
             raise ExchangeFailed(f"cannot send to {self.address}: {exc!r}") from exc
 
-    async def head(self, *, timeout: float | None = None) -> ResponseHead:
+    async def head(self, timeout: float | None = None) -> ResponseHead:
         """Return the status and headers of the response.
 
+        It may be called again after a timeout.
+
         Raises
         ------
         ExchangeFailed
@@ -113,7 +118,7 @@
             f"{self.address} sent more than {MAX_INTERIM_RESPONSES} interim responses"
         )
 
-    async def chunk(self, *, timeout: float | None = None) -> bytes | None:
+    async def chunk(self, timeout: float | None = None) -> bytes | None:
         """Return the next bytes of the body, or None after its end.
 
         Raises as `head` does; the timeout is that for the next bytes.
@@ -143,6 +148,10 @@
             parts.append(part)
         return b"".join(parts)
 
+    def pending_read(self) -> "asyncio.Future[bytes]":
+        """Return a future that is done when bytes or the end have arrived."""
+        return self._receiver.pending_read()
+
     def release(self) -> bool:
         """Prepare the connection for another request; false if that is impossible.
 
@@ -178,12 +187,12 @@
 
         The parser waits for a whole line, which garbage may never end.
         """
-        start = b""
-        while len(start) < len(RESPONSE_PREFIX):
+        while len(self._response_start) < len(RESPONSE_PREFIX):
             data = await self._receive()
             self._parser.receive_data(data)
-            start += data[: len(RESPONSE_PREFIX)]
-            if not RESPONSE_PREFIX.startswith(start[: len(RESPONSE_PREFIX)]):
+            self._response_start += data[: len(RESPONSE_PREFIX)]
+            start = self._response_start[: len(RESPONSE_PREFIX)]
+            if not RESPONSE_PREFIX.startswith(start):
                 raise ExchangeFailed(f"{self.address} sent no response: {start!r}")
             if not data:
                 return
--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -1,7 +1,7 @@
 """Runs one attempt: sends a request to a backend server and reads the response."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from attrs import evolve, frozen
 
@@ -30,6 +30,7 @@
 )
 from eelgrassdale_gateway.progress import ProgressTimer
 from eelgrassdale_gateway.responses import read_body, relay_stream, skip_body
+from eelgrassdale_gateway.stalls import Place, StallWatch
 
 # Memory for the buffered parts of all responses together.
 DEFAULT_RESPONSE_MEMORY_BYTES = 33_554_432
@@ -50,12 +51,15 @@
 
     `on_head` is called for the head of a response that is not a refusal,
     `on_first_event` for the first event of a stream that is new to the caller,
-    `on_advisory` for each head that the intended backend server sent.
+    `on_advisory` for each head that the intended backend server sent. `seek_place`
+    and `release_place` are those of `StallWatch`.
     """
 
     on_advisory: Callable[[Advisory], None]
     on_head: Callable[[], None]
     on_first_event: Callable[[], None]
+    seek_place: Callable[[], Awaitable[Place | None]]
+    release_place: Callable[[Place], None]
 
 
 class AttemptRunner:
@@ -102,18 +106,28 @@
         except ConnectFailed as exc:
             return NotRun(reason=f"connect: {exc}", was_sent=False)
         is_reusable = False
+        watch = StallWatch(
+            timer=ProgressTimer(
+                clock=self._clock, limit_seconds=self._silence_timeout(call)
+            ),
+            seek_place=observer.seek_place,
+            release_place=observer.release_place,
+            has_begun=lambda: call.exchange.is_started,
+        )
         try:
             call.send_count += 1
             outcome, is_reusable = await self._send_and_receive(
-                call, server, conn, observer, latest_start
+                call, server, conn, observer, watch, latest_start
             )
         except ExchangeFailed as exc:
             outcome = Lost(reason=str(exc))
         except MemoryExhausted as exc:
             outcome = Withdrawn(reason=f"memory for responses: {exc}")
         except TimeoutError:
+            call.next_place = watch.place
             outcome = Lost(reason="no progress within the time limit")
         finally:
+            await watch.stop_seeking()
             if is_reusable:
                 self._pool.release(conn)
             else:
@@ -128,6 +142,7 @@
         server: BackendServer,
         conn: ClientConnection,
         observer: AttemptObserver,
+        watch: StallWatch,
         latest_start: float,
     ) -> tuple[Outcome, bool]:
         """Return the outcome and whether the connection can be reused."""
@@ -136,7 +151,7 @@
         try:
             async with asyncio.timeout_at(self._loop_time(latest_start)) as start_limit:
                 await conn.send(self._build_request(call, server))
-                head = await conn.head(timeout=self._silence_timeout(call))
+                head = await watch.read(conn, conn.head)
         except TimeoutError:
             if not start_limit.expired():
                 raise
@@ -153,6 +168,7 @@
             refusal = NotRun(reason=f"refused with status {head.status}", was_sent=True)
             return refusal, await skip_body(conn)
         call.attempt_has_head = True
+        watch.timer.record_progress()
         observer.on_head()
         if call.admitted.route.is_stream and head.status == 200:
             if not head.header(self._header_names.response_signature):
@@ -161,11 +177,11 @@
                 call,
                 conn,
                 head,
-                timer=self._progress_timer(call),
+                watch=watch,
                 clock=self._clock,
                 on_first_event=observer.on_first_event,
             )
-        body = await read_body(call, conn, timer=self._progress_timer(call))
+        body = await read_body(call, conn, watch=watch)
         if head.status < 300 and not head.header(self._header_names.response_signature):
             return Lost(reason="success without a signature"), False
         return Answered(head=head, body=body), True
@@ -176,13 +192,8 @@
             return None
         return asyncio.get_running_loop().time() + at - self._clock.monotonic()
 
-    def _progress_timer(self, call: Call) -> ProgressTimer:
-        return ProgressTimer(
-            clock=self._clock, limit_seconds=self._silence_timeout(call)
-        )
-
     def _silence_timeout(self, call: Call) -> float | None:
-        """Return the seconds without progress after which an attempt is lost.
+        """Return the seconds without progress after which another place is sought.
 
         None disables the timeout: no other attempt could follow.
         """
--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -6,6 +6,7 @@
 from eelgrassdale_gateway.admission import AdmittedRequest
 from eelgrassdale_gateway.model import EngineProfile
 from eelgrassdale_gateway.queueing import Waiter
+from eelgrassdale_gateway.stalls import Place
 
 
 @define(kw_only=True, eq=False)
@@ -16,8 +17,9 @@
     the attempts that may have run it. `event_count` and `last_event_id` describe
     the stream events already relayed to the caller. `response_memory` counts the
     bytes of a response that are held. `attempt_has_head` and `attempt_event_count`
-    describe the response to the newest attempt. `retry_at` is when a refused caller
-    may come back, if that is known.
+    describe the response to the newest attempt. `next_place` is a place that was found
+    for the next one. `retry_at` is when a refused caller may come back, if that is
+    known.
     """
 
     admitted: AdmittedRequest
@@ -31,6 +33,7 @@
     last_event_at: float = 0.0
     attempt_has_head: bool = False
     attempt_event_count: int = 0
+    next_place: Place | None = None
     retry_at: float | None = None
 
     @property
@@ -38,6 +41,11 @@
         """Whether the request may run more than once."""
         return self.admitted.route.is_idempotent
 
+    def take_next_place(self) -> Place | None:
+        """Return the place that was found for the next attempt, once."""
+        place, self.next_place = self.next_place, None
+        return place
+
     def start_attempt(self) -> None:
         """Forget the response to the attempt before."""
         self.attempt_has_head = False
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -23,18 +23,14 @@
     Relayed,
     Withdrawn,
 )
-from eelgrassdale_gateway.queueing import is_late, retry_after_seconds
+from eelgrassdale_gateway.promptoutcomes import PromptOutcomes
+from eelgrassdale_gateway.queueing import Waiter, is_late, retry_after_seconds
 from eelgrassdale_gateway.responses import response_headers
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
-from eelgrassdale_gateway.retryrules import (
-    is_sound_answer,
-    lost_its_server,
-    lost_server_as_answer_began,
-    result_code,
-    retry_refusal_reason,
-)
+from eelgrassdale_gateway.retryrules import result_code, retry_refusal_reason
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.serverends import ServerEndDetector
+from eelgrassdale_gateway.stalls import Place
 from eelgrassdale_gateway.stopschedule import StopSchedule
 from eelgrassdale_gateway.telemetry import RequestTelemetry
 
@@ -59,18 +55,21 @@
         seed: int | None = None,
     ) -> None:
         self._telemetry = telemetry
-        self._server_ends = server_ends or ServerEndDetector()
         self._clock = clock
         self._routing_state = routing_state
         self._dispatcher = dispatcher
         self._quarantine = dispatcher.quarantine
+        self._prompt_outcomes = PromptOutcomes(
+            clock=clock,
+            quarantine=dispatcher.quarantine,
+            server_ends=server_ends or ServerEndDetector(),
+        )
         self._attempt_runner = attempt_runner
         self._retry_budgets = retry_budgets
         self._header_names = header_names
         self._rng = Random(seed)
         self._stop_schedule: StopSchedule | None = None
         self._time_limits: set[asyncio.Timeout] = set()
-        self._recordings: set[asyncio.Task[None]] = set()
 
     def start_stopping(self, schedule: StopSchedule) -> None:
         """Take requests as the schedule says, and end the present ones with it."""
@@ -114,6 +113,8 @@
             raise
         finally:
             call.response_memory.release()
+            if (place := call.take_next_place()) is not None:
+                self._release_place(call, place)
 
     def _admits(self, admitted: AdmittedRequest) -> bool:
         """Return whether a request can still end before this gateway stops."""
@@ -159,9 +160,9 @@
     async def _run_attempt(
         self, call: Call, excluded: frozenset[str]
     ) -> tuple[Outcome, BackendServer]:
-        service = self._routing_state.table.services.get(call.admitted.service)
-        waiter = make_waiter(call, excluded, service.engine if service else None)
-        placement, in_flight = await self._dispatcher.place(waiter)
+        waiter = self._make_waiter(call, excluded)
+        place = call.take_next_place() or await self._dispatcher.place(waiter)
+        placement, in_flight = place
         server = placement.server
         admitted = call.admitted
         now = self._clock.monotonic()
@@ -185,6 +186,8 @@
                     on_first_event=lambda: self._quarantine.record_start(
                         admitted.quarantine_parts
                     ),
+                    seek_place=lambda: self._seek_place(call, excluded | {server.id}),
+                    release_place=lambda place: self._release_place(call, place),
                 ),
                 latest_start=self._dispatcher.latest_start(server, admitted.model),
             )
@@ -193,27 +196,35 @@
         if not isinstance(outcome, NotRun):
             call.run_count += 1
         self._record_outcome(call, server, outcome)
-        if lost_its_server(outcome):
-            await self._handle_lost_server(call, server, outcome)
-        elif is_sound_answer(outcome):
-            self._quarantine.record_answer(admitted.quarantine_parts)
+        await self._prompt_outcomes.record(call, server, outcome)
         return outcome, server
 
-    async def _handle_lost_server(
-        self, call: Call, server: BackendServer, outcome: Outcome
-    ) -> None:
-        """Record whether the server of an attempt has ended, if the prompt has parts.
+    def _make_waiter(self, call: Call, excluded: frozenset[str]) -> Waiter:
+        service = self._routing_state.table.services.get(call.admitted.service)
+        return make_waiter(call, excluded, service.engine if service else None)
 
-        It is recorded also if the caller closes its connection meanwhile.
-        """
-        if not call.admitted.quarantine_parts:
-            return
-        task = asyncio.ensure_future(self._record_lost_server(call, server, outcome))
-        self._recordings.add(task)
-        task.add_done_callback(self._recordings.discard)
-        if isinstance(outcome, Lost):
-            # Whether the request may be retried depends on it.
-            await asyncio.shield(task)
+    async def _seek_place(self, call: Call, excluded: frozenset[str]) -> Place | None:
+        """Take a retry and wait for a place for it; None if one is refused."""
+        service = call.admitted.service
+        if retry_refusal_reason(call, Lost(reason="stalled")):
+            return None
+        if not self._retry_budgets.take(service):
+            return None
+        is_found = False
+        try:
+            place = await self._dispatcher.place(self._make_waiter(call, excluded))
+            is_found = True
+            return place
+        except PlacementRefused:
+            return None
+        finally:
+            if not is_found:
+                self._retry_budgets.give_back(service)
+
+    def _release_place(self, call: Call, place: Place) -> None:
+        """Give back what `_seek_place` took."""
+        self._dispatcher.record_end(place[1])
+        self._retry_budgets.give_back(call.admitted.service)
 
     def _on_advisory(
         self,
@@ -238,19 +249,6 @@
             seconds=self._clock.monotonic() - call.admitted.arrived_at,
         )
 
-    async def _record_lost_server(
-        self, call: Call, server: BackendServer, outcome: Outcome
-    ) -> None:
-        parts = call.admitted.quarantine_parts
-        lost_at = self._clock.monotonic()
-        if await self._server_ends.has_ended(server):
-            server_id, started_at_ms = server.incarnation
-            self._quarantine.record_crash(
-                f"{server_id}/{started_at_ms}", parts, at=lost_at
-            )
-        elif is_sound_answer(outcome):
-            self._quarantine.record_answer(parts)
-
     def _record_outcome(
         self, call: Call, server: BackendServer, outcome: Outcome
     ) -> None:
@@ -286,11 +284,11 @@
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
         if isinstance(outcome, NotRun) and not outcome.was_sent:
             return True
+        if call.next_place is not None:
+            # The retry was taken together with the place.
+            return True
         reason = retry_refusal_reason(call, outcome)
-        if lost_its_server(outcome) and self._quarantine.is_suspect(
-            call.admitted.quarantine_parts,
-            has_answer_begun=lost_server_as_answer_began(call, outcome),
-        ):
+        if self._prompt_outcomes.is_suspect(call, outcome):
             reason = "may have ended its backend server"
         if not reason and not self._retry_budgets.take(call.admitted.service):
             reason = "retry budget of the service exhausted"
--- a/packages/gateway/eelgrassdale_gateway/progress.py
+++ b/packages/gateway/eelgrassdale_gateway/progress.py
@@ -37,6 +37,12 @@
         """Start the time anew."""
         self._progress_at = self._clock.monotonic()
 
+    def extend(self, seconds: float) -> None:
+        """Allow this time from now on without progress."""
+        if self._limit_seconds is not None:
+            now = self._clock.monotonic()
+            self._progress_at = now + seconds - self._limit_seconds
+
     def remaining_seconds(self) -> float | None:
         """Return the seconds that are left for further progress, or None."""
         if self._limit_seconds is None:
--- a/packages/gateway/eelgrassdale_gateway/responses.py
+++ b/packages/gateway/eelgrassdale_gateway/responses.py
@@ -17,7 +17,7 @@
     StreamEvent,
 )
 from eelgrassdale_gateway.outcomes import Lost, Outcome, Relayed
-from eelgrassdale_gateway.progress import ProgressTimer
+from eelgrassdale_gateway.stalls import StallWatch
 
 # Limit of responses that are buffered whole before they are sent to the caller.
 MAX_RESPONSE_BYTES = 8_388_608
@@ -48,9 +48,7 @@
     return True
 
 
-async def read_body(
-    call: Call, conn: ClientConnection, *, timer: ProgressTimer
-) -> bytes:
+async def read_body(call: Call, conn: ClientConnection, *, watch: StallWatch) -> bytes:
     """Return the whole body of a response that is not streamed.
 
     Raises
@@ -60,11 +58,11 @@
     MemoryExhausted
         If the memory for the responses of all requests has no room for it.
     TimeoutError
-        If the body made no progress in time.
+        If the body made no progress in time and the request has another place.
     """
     parts: list[bytes] = []
     size = size_at_progress = 0
-    while (part := await conn.chunk(timeout=timer.remaining_seconds())) is not None:
+    while (part := await watch.read(conn, conn.chunk)) is not None:
         size += len(part)
         if size > MAX_RESPONSE_BYTES:
             raise ExchangeFailed(f"response exceeds {MAX_RESPONSE_BYTES} bytes")
@@ -72,7 +70,7 @@
         parts.append(part)
         if size - size_at_progress >= MIN_PROGRESS_BYTES:
             size_at_progress = size
-            timer.record_progress()
+            watch.timer.record_progress()
     return b"".join(parts)
 
 
@@ -81,7 +79,7 @@
     conn: ClientConnection,
     head: ResponseHead,
     *,
-    timer: ProgressTimer,
+    watch: StallWatch,
     clock: Clock,
     on_first_event: Callable[[], None],
 ) -> tuple[Outcome, bool]:
@@ -92,11 +90,11 @@
     """
     splitter = EventSplitter()
     try:
-        while (data := await conn.chunk(timeout=timer.remaining_seconds())) is not None:
+        while (data := await watch.read(conn, conn.chunk)) is not None:
             event_count = call.attempt_event_count
             await _relay_data(call, head, splitter, data, clock=clock)
             if call.attempt_event_count > event_count:
-                timer.record_progress()
+                watch.timer.record_progress()
                 if event_count == 0:
                     on_first_event()
     except InvalidEventStream as exc:
--- a/packages/gateway/eelgrassdale_gateway/retrybudgets.py
+++ b/packages/gateway/eelgrassdale_gateway/retrybudgets.py
@@ -61,6 +61,11 @@
         """Take one retry; return False if the budget is exhausted."""
         return self._budget(service).try_acquire()
 
+    def give_back(self, service: str) -> None:
+        """Give back a retry that was taken and not sent."""
+        budget = self._budget(service)
+        budget.tokens = min(budget.limit, budget.tokens + 1)
+
     def _budget(self, service: str) -> RetryBudget:
         limit = max(
             INITIAL_RETRIES, SLACK_FRACTION * self.slack / self.gateway_group().count
