Bound each answer that an agent reads of its engine

Another operator reported machines that ran out of memory by bytes without end of a faulty runner.

Cause: one limit for all answers, that of the largest chunk; reads with a time limit each and no bound of the sum.

Ruled out: gateways; their tests hold for heads, bodies, refusals, streams, trailers and the lines of chunks.

Change: each call has the bound of what it reads; chunks that of their manifest. The agent reads control answers through `read_bounded`.

--- a/packages/agent/eelgrassdale_agent/backend.py
+++ b/packages/agent/eelgrassdale_agent/backend.py
@@ -14,7 +14,7 @@
 
 from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
-from urllib3.response import HTTPResponse
+from urllib3.response import BaseHTTPResponse, HTTPResponse
 
 from eelgrassdale.results import ResultCode
 
@@ -162,6 +162,26 @@
     return BackendError(ResultCode.BACKEND_FAILED, repr(exc), is_connection_lost=True)
 
 
+def read_bounded(response: BaseHTTPResponse, *, max_bytes: int) -> bytes:
+    """Return the whole body of a response that was not read yet.
+
+    Raises
+    ------
+    urllib3.exceptions.HTTPError
+        If the body has more than `max_bytes`, or cannot be read; the connection is
+        closed then.
+
+    """
+    try:
+        data = response.read(max_bytes + 1)
+        if len(data) > max_bytes:
+            raise HTTPError(f"response exceeds {max_bytes} bytes")
+    except EXCHANGE_ERRORS:
+        response.close()
+        raise
+    return data
+
+
 def read_error_excerpt(response: HTTPResponse) -> str:
     """Return the start of an error body, empty if it cannot be read."""
     try:
--- a/packages/agent/eelgrassdale_agent/engine.py
+++ b/packages/agent/eelgrassdale_agent/engine.py
@@ -7,7 +7,7 @@
 from attrs import frozen
 from urllib3.exceptions import NewConnectionError, ProtocolError
 from urllib3.exceptions import TimeoutError as HTTPTimeoutError
-from urllib3.response import BaseHTTPResponse, HTTPResponse
+from urllib3.response import HTTPResponse
 
 from eelgrassdale.admission.events import EngineReported
 from eelgrassdale.results import ResultCode
@@ -19,10 +19,13 @@
     Exchange,
     connection_lost_error,
     json_bytes,
+    read_bounded,
     read_error_excerpt,
 )
 
 CONTROL_TIMEOUT_SECONDS = 1.0
+# A faulty engine may send bytes without end in place of a report.
+MAX_CONTROL_BYTES = 64 * 1024
 # A longer line cannot be a token; the limit bounds the memory of the line buffer.
 MAX_LINE_BYTES = 64 * 1024
 
@@ -152,10 +155,10 @@
         """Cancel a request and return whether the engine confirmed it."""
         body = json_bytes({"request_id": request_id})
         try:
-            response = self._pool.request("POST", f"{self._url}/cancel", body=body)
+            status, _ = self._call("POST", "/cancel", body=body)
         except EXCHANGE_ERRORS:
             return False
-        return response.status == 200
+        return status == 200
 
     def load_report(self, *, now: float) -> EngineReported:
         """Return the load report, stamped with `now`, the time of the call.
@@ -166,23 +169,29 @@
             `is_connection_lost` is set when the connection was refused or broke.
 
         """
-        response = self._get_load()
-        if response.status != 200:
+        status, body = self._get_load()
+        if status != 200:
             raise BackendError(
-                ResultCode.BACKEND_FAILED,
-                f"load report answered with status {response.status}",
+                ResultCode.BACKEND_FAILED, f"load report answered with status {status}"
             )
-        return _parse_load_report(response.data, now)
+        return _parse_load_report(body, now)
+
+    def _call(self, method: str, path: str, *, body: bytes = b"") -> tuple[int, bytes]:
+        """Return status and body of a call that has a short answer."""
+        response = self._pool.request(
+            method, self._url + path, body=body, preload_content=False
+        )
+        return response.status, read_bounded(response, max_bytes=MAX_CONTROL_BYTES)
 
-    def _get_load(self) -> BaseHTTPResponse:
+    def _get_load(self) -> tuple[int, bytes]:
         try:
             try:
-                return self._pool.request("GET", f"{self._url}/load")
+                return self._call("GET", "/load")
             except ProtocolError:
                 # The engine may close an idle connection at any time; only a
                 # failure on a new one shows that the engine itself is unreachable.
                 self._pool.clear()
-                return self._pool.request("GET", f"{self._url}/load")
+                return self._call("GET", "/load")
         except NewConnectionError as exc:
             raise BackendError(
                 ResultCode.NO_BACKEND_SERVER, repr(exc), is_connection_lost=True
--- a/packages/agent/eelgrassdale_agent/orders.py
+++ b/packages/agent/eelgrassdale_agent/orders.py
@@ -8,6 +8,7 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.results import ResultCode, ResultError
+from eelgrassdale_agent.backend import read_bounded
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 STAGE_TIMEOUT_SECONDS = 10.0
@@ -17,6 +18,9 @@
 # of this client, the version in the order replaces the one in the report, unless the
 # engine has restarted since.
 REPORT_LAG_SECONDS = 3.0
+# Bounds of what is kept of an answer: a faulty engine may send bytes without end.
+MAX_ANSWER_BYTES = 1_048_576
+MAX_CHUNK_BYTES = 67_108_864
 HTTP_CONFLICT = 409
 HTTP_NOT_FOUND = 404
 
@@ -31,6 +35,14 @@
     cold: bool
 
 
+@frozen(kw_only=True)
+class _Answer:
+    """Status and whole body of an answer."""
+
+    status: int
+    data: bytes
+
+
 class EngineWeightsClient:
     """Stages chunks in the engine's memory and orders it to load them.
 
@@ -109,7 +121,12 @@
         """
         path = f"/weights/{manifest}/{index}"
         try:
-            resp = self._request("GET", path, timeout_seconds=STAGE_TIMEOUT_SECONDS)
+            resp = self._request(
+                "GET",
+                path,
+                timeout_seconds=STAGE_TIMEOUT_SECONDS,
+                max_bytes=MAX_CHUNK_BYTES,
+            )
         except urllib3.exceptions.HTTPError as exc:
             return _error(ResultCode.BACKEND_FAILED, repr(exc))
         if resp.status == HTTP_NOT_FOUND:
@@ -194,11 +211,24 @@
             state, model_version=loaded.model_version, manifest=loaded.manifest
         )
 
-    def _request(self, method: str, path: str, *, timeout_seconds: float, body=None):
+    def _request(
+        self,
+        method: str,
+        path: str,
+        *,
+        timeout_seconds: float,
+        body: bytes | None = None,
+        max_bytes: int = MAX_ANSWER_BYTES,
+    ) -> _Answer:
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_SECONDS, read=timeout_seconds)
-        return self._pool.request(
-            method, f"{self._url}{path}", body=body, timeout=timeout
+        resp = self._pool.request(
+            method,
+            f"{self._url}{path}",
+            body=body,
+            timeout=timeout,
+            preload_content=False,
         )
+        return _Answer(status=resp.status, data=read_bounded(resp, max_bytes=max_bytes))
 
 
 def _error(code: ResultCode, message: str) -> Result:
--- a/packages/agent/eelgrassdale_agent/tests/test_backend.py
+++ b/packages/agent/eelgrassdale_agent/tests/test_backend.py
@@ -6,8 +6,11 @@
 
 import pytest
 
+from eelgrassdale.clock import SystemClock
 from eelgrassdale.results import ResultCode
 from eelgrassdale_agent.backend import BackendError
+from eelgrassdale_agent.engine import EngineClient
+from eelgrassdale_agent.orders import EngineWeightsClient
 from eelgrassdale_agent.plainclient import PlainClient, PlainRequest
 
 REQUEST = PlainRequest(request_id="r-1", method="GET", path="/x", headers={}, body=b"")
@@ -64,3 +67,55 @@
     assert call(b"HTTP/1.1 200 OK\r\n\r\nuntil the end") == (200, b"until the end")
     interim = b"HTTP/1.1 100 Continue\r\n\r\n"
     assert call(interim + HEAD + b"whole") == (200, b"whole")
+
+
+# Above the longest answer that is kept, with the buffers of both ends.
+MAX_SENT_BYTES = 24_000_000
+
+
+@contextlib.contextmanager
+def server_without_end():
+    """Run a server that answers with bytes without end; yield its URL and a count."""
+    sent = []
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+
+        def serve():
+            conn, _ = listener.accept()
+            with conn, contextlib.suppress(OSError):
+                conn.recv(65_536)
+                conn.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+                while sum(sent) < 2 * MAX_SENT_BYTES:
+                    conn.sendall(65_536 * b"[")
+                    sent.append(65_536)
+
+        thread = threading.Thread(target=serve)
+        thread.start()
+        yield f"http://127.0.0.1:{listener.getsockname()[1]}", sent
+        thread.join(TIMEOUT_SECONDS)
+
+
+def read_load_report(url):
+    with pytest.raises(BackendError):
+        EngineClient(url=url).load_report(now=0.0)
+
+
+def cancel(url):
+    assert not EngineClient(url=url).cancel("r-1")
+
+
+def read_state(url):
+    client = EngineWeightsClient(backend_url=url, clock=SystemClock())
+    assert client.state().is_error()
+
+
+def list_staged(url):
+    client = EngineWeightsClient(backend_url=url, clock=SystemClock())
+    assert client.staged_indices("m").is_error()
+
+
+@pytest.mark.parametrize("use", [read_load_report, cancel, read_state, list_staged])
+def test_control_answers_without_end_are_not_kept(use):
+    """Guards against an agent that runs out of memory with its other requests."""
+    with server_without_end() as (url, sent):
+        use(url)
+    assert sum(sent) < MAX_SENT_BYTES
--- a/packages/gateway/eelgrassdale_gateway/staging/engine.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/engine.py
@@ -61,8 +61,10 @@
         """Return the indexes of the chunks that are staged."""
         ...
 
-    async def read_chunk(self, model: str, index: int) -> bytes | None:
-        """Return a staged chunk, or None."""
+    async def read_chunk(
+        self, model: str, index: int, *, max_bytes: int
+    ) -> bytes | None:
+        """Return a staged chunk, or None; a longer one is an error."""
         ...
 
     async def stage_chunk(self, model: str, index: int, data: bytes) -> None:
@@ -84,6 +86,8 @@
         """Return the digests of a version's chunks."""
         ...
 
-    async def read_chunk(self, model: str, version: int, index: int) -> bytes:
-        """Return a chunk; the caller checks its digest."""
+    async def read_chunk(
+        self, model: str, version: int, index: int, *, max_bytes: int
+    ) -> bytes:
+        """Return a chunk, whose digest the caller checks; a longer one is an error."""
         ...
--- a/packages/gateway/eelgrassdale_gateway/staging/fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/fetching.py
@@ -200,7 +200,12 @@
         manifest = chunks.manifest
         try:
             async with asyncio.timeout(TIMEOUT_MARGIN_SECONDS):
-                data = await origin.read_chunk(manifest.model, manifest.version, index)
+                data = await origin.read_chunk(
+                    manifest.model,
+                    manifest.version,
+                    index,
+                    max_bytes=manifest.chunk_bytes,
+                )
         except VersionGone:
             raise
         except (SourceUnavailable, TimeoutError) as exc:
--- a/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
@@ -178,7 +178,9 @@
         try:
             staged = await self._engine.staged_chunks(manifest.model)
             for index in sorted(staged):
-                data = await self._engine.read_chunk(manifest.model, index)
+                data = await self._engine.read_chunk(
+                    manifest.model, index, max_bytes=manifest.chunk_bytes
+                )
                 # `add` ignores chunks that are damaged or of another version.
                 if data is not None and index < manifest.count:
                     chunks.add(index, data)
@@ -292,7 +294,9 @@
         for index in range(manifest.count):
             staged = None
             if index in held:
-                staged = await self._engine.read_chunk(manifest.model, index)
+                staged = await self._engine.read_chunk(
+                    manifest.model, index, max_bytes=manifest.chunk_bytes
+                )
             if staged is None or not manifest.matches(index, staged):
                 await self._engine.stage_chunk(manifest.model, index, chunks.get(index))
 
--- a/packages/gateway/eelgrassdale_gateway/staging/relay.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/relay.py
@@ -296,7 +296,10 @@
         try:
             async with self._origin_slots, asyncio.timeout(ORIGIN_TIMEOUT_SECONDS):
                 data = await origin_info.origin.read_chunk(
-                    chunk_request.model, chunk_request.version, chunk_request.index
+                    chunk_request.model,
+                    chunk_request.version,
+                    chunk_request.index,
+                    max_bytes=cached.chunks.manifest.chunk_bytes,
                 )
         except (SourceUnavailable, TimeoutError) as exc:
             log.info("reading a chunk failed", gateway="origin", reason=repr(exc))
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/cluster.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/cluster.py
@@ -58,7 +58,9 @@
         self._check(version)
         return manifest_of(model, version, weights(version))
 
-    async def read_chunk(self, model: str, version: int, index: int) -> bytes:
+    async def read_chunk(
+        self, model: str, version: int, index: int, *, max_bytes: int
+    ) -> bytes:
         """Return a chunk, damaged according to `corrupt_next_reads`."""
         self._check(version)
         if self.serves_manifests_only:
@@ -104,7 +106,9 @@
         self._check()
         return frozenset(self.chunks)
 
-    async def read_chunk(self, model: str, index: int) -> bytes | None:
+    async def read_chunk(
+        self, model: str, index: int, *, max_bytes: int
+    ) -> bytes | None:
         """Return a staged chunk."""
         self._check()
         return self.chunks.get(index)
