Take an engine's answer nested too deep for an invalid one

A report, list or manifest of 100,000 opening brackets raised an error that no caller of the clients expects, which ends the program.

Cause: the parser fails so at about 1,000 levels, and only errors of values were expected. Found while looking at bytes without end.

Change: this error, and numbers too large in a load report, count as an invalid answer of the engine or the origin.

--- a/packages/agent/eelgrassdale_agent/engine.py
+++ b/packages/agent/eelgrassdale_agent/engine.py
@@ -223,7 +223,7 @@
             memory_limit=int(value["memory_limit"]),
             cold=bool(value["cold"]),
         )
-    except (ValueError, KeyError, TypeError) as exc:
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as exc:
         raise BackendError(
             ResultCode.BACKEND_FAILED, f"malformed load report: {exc!r}"
         ) from exc
