Take from the store only names that other programs can read

Cause: the name of an entry was not checked, and heartbeats, pages for followers and the header that names the server need it as text. The same class: token counts beyond 32 bits and the age of a quarantine end a heartbeat or a notice, `Deadline-Ms: nan` becomes a timer's time, a length hint of thousands of digits ends its request, and a client account's name beyond Latin-1 closes each of its connections.

Ruled out: the fields of an entry, which were checked.

Counts and ages are bounded where they come in or go out. Names of accounts beyond Latin-1 go out as UTF-8. The pattern that finds values nested too deep tries no byte of an unfinished string twice.

--- a/packages/core/eelgrassdale/http1/client.py
+++ b/packages/core/eelgrassdale/http1/client.py
@@ -70,10 +70,10 @@
         """
         self.request_count += 1
         self._response_start = b""
-        headers = encode_headers(req.headers)
-        if req.body or req.method not in ("GET", "HEAD", "DELETE"):
-            headers.append((b"content-length", str(len(req.body)).encode()))
         try:
+            headers = encode_headers(req.headers)
+            if req.body or req.method not in ("GET", "HEAD", "DELETE"):
+                headers.append((b"content-length", str(len(req.body)).encode()))
             data = self._parser.send(
                 h11.Request(
                     method=req.method.encode(),
@@ -86,7 +86,7 @@
             data += self._parser.send(h11.EndOfMessage())
             self._writer.write(data)
             await self._writer.drain()
-        except (OSError, h11.ProtocolError) as exc:
+        except (OSError, h11.ProtocolError, UnicodeEncodeError) as exc:
             raise ExchangeFailed(f"cannot send to {self.address}: {exc!r}") from exc
 
     async def head(self, timeout: float | None = None) -> ResponseHead:
--- a/packages/core/eelgrassdale/http1/messages.py
+++ b/packages/core/eelgrassdale/http1/messages.py
@@ -101,8 +101,24 @@
 
 
 def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
-    """Return headers as the byte pairs that `h11` expects."""
-    return [(key.encode("latin-1"), value.encode("latin-1")) for key, value in headers]
+    """Return headers as the byte pairs that `h11` expects.
+
+    Values beyond Latin-1, such as names of client accounts, are sent as UTF-8.
+
+    Examples
+    --------
+    >>> encode_headers((("x-name", chr(0x65E5)),))
+    [(b'x-name', b'\\xe6\\x97\\xa5')]
+
+    """
+    return [(key.encode("latin-1"), _encode_value(value)) for key, value in headers]
+
+
+def _encode_value(value: str) -> bytes:
+    try:
+        return value.encode("latin-1")
+    except UnicodeEncodeError:
+        return value.encode()
 
 
 def header_size(headers: Headers) -> int:
--- a/packages/core/eelgrassdale/jsondecoding.py
+++ b/packages/core/eelgrassdale/jsondecoding.py
@@ -1,8 +1,8 @@
 """Decodes JSON that other programs wrote, of which a part may be unusable.
 
 One unusable value costs only the object that holds it: values that are nested too deep
-become None, numbers that are too large become infinite, and bytes that are no text are
-replaced.
+and strings that no text can hold become None, numbers that are too large become
+infinite, and bytes that are no text are replaced.
 """
 
 import json
@@ -15,7 +15,10 @@
 MAX_DEPTH = 64
 # Longer whole numbers are not exact in a floating-point number.
 MAX_INTEGER_DIGITS = 18
-_TOKENS = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[{]+|[\]}]+', re.DOTALL)
+# A string without an end goes to the end of the text, so that no byte is tried twice.
+_TOKENS = re.compile(rb'"(?:[^"\\]++|\\.)*+"?|[\[{]+|[\]}]+', re.DOTALL)
+_HALF_CHARACTER = re.compile(rb"\\u[dD][89a-fA-F]")
+_TOKEN = re.compile(r"[!-~]+")
 
 
 def decode_json(data: bytes) -> Any:
@@ -46,10 +49,18 @@
         If the text is malformed.
     RecursionError
         If it is nested deeper than the parser can follow.
+
+    Examples
+    --------
+    >>> parse_json(b'["half a character: " , "' + bytes([92]) + b'ud800"]')
+    ['half a character: ', None]
+
     """
-    return json.loads(
+    value = json.loads(
         data.decode("utf-8", errors="replace"), strict=False, parse_int=_parse_integer
     )
+    # Only such an escape becomes a string that no text can hold.
+    return _text_only(value) if _HALF_CHARACTER.search(data) else value
 
 
 def is_usable(value: Any) -> bool:
@@ -69,6 +80,44 @@
     return False
 
 
+def is_text(value: Any) -> bool:
+    """Return whether a value is a string that UTF-8 can hold.
+
+    Examples
+    --------
+    >>> is_text("a"), is_text(chr(0xD800)), is_text(7)
+    (True, False, False)
+
+    """
+    if not isinstance(value, str):
+        return False
+    if value.isascii():
+        return True
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def is_token(value: Any, *, max_length: int) -> bool:
+    """Return whether a value is a string of visible ASCII characters.
+
+    Such strings may stand in headers, paths and log lines.
+
+    Examples
+    --------
+    >>> is_token("i-7f3a91c2", max_length=200), is_token("a b", max_length=200)
+    (True, False)
+
+    """
+    return (
+        isinstance(value, str)
+        and 0 < len(value) <= max_length
+        and _TOKEN.fullmatch(value) is not None
+    )
+
+
 def whole_number(value: Any, *, lowest: int = 0, highest: int) -> int:
     """Return a decoded number as an integer within bounds.
 
@@ -98,6 +147,21 @@
     return int(digits) if len(digits) <= MAX_INTEGER_DIGITS else float(digits)
 
 
+def _text_only(value: Any) -> Any:
+    """Return a value with None in place of strings that UTF-8 cannot hold."""
+    match value:
+        case str():
+            return value if is_text(value) else None
+        case list():
+            return [_text_only(item) for item in value]
+        case dict():
+            return {
+                name: _text_only(item) for name, item in value.items() if is_text(name)
+            }
+        case _:
+            return value
+
+
 def _children(value: Any) -> list[Any]:
     if isinstance(value, dict):
         return list(value.values())
--- a/packages/gateway/eelgrassdale_gateway/admission.py
+++ b/packages/gateway/eelgrassdale_gateway/admission.py
@@ -1,5 +1,6 @@
 """Validates a request against the configuration before it is queued."""
 
+import math
 from random import Random
 
 from attrs import frozen
@@ -14,6 +15,9 @@
 # Subtracted from the deadline so that the response can reach the caller in time.
 RESPONSE_MARGIN_SECONDS = 0.03
 MAX_DEADLINE_SECONDS = 3600.0
+# No engine has room for as many; loads are sent in 32 bits.
+MAX_TOKENS = 1_000_000_000
+MAX_TOKEN_DIGITS = 10
 # Longer names of models and parts are known by their digests.
 MAX_NAME_LENGTH = 64
 # Parts of a prompt that its log lines name.
@@ -133,6 +137,8 @@
         remaining_seconds = float(text) / 1000
     except ValueError:
         return route.timeout_seconds
+    if math.isnan(remaining_seconds):
+        return route.timeout_seconds
     return min(max(remaining_seconds, 0.0), MAX_DEADLINE_SECONDS)
 
 
@@ -147,7 +153,9 @@
     0
 
     """
-    return min(int(length_hint), max_output_tokens) if length_hint.isdecimal() else 0
+    if not length_hint.isdecimal() or len(length_hint) > MAX_TOKEN_DIGITS:
+        return 0
+    return min(int(length_hint), max_output_tokens)
 
 
 def _parse_token_counts(text: str) -> tuple[int, int]:
@@ -161,15 +169,21 @@
     ...     _parse_token_counts(""),
     ... )
     ((1460, 80), (0, 0), (0, 0))
+    >>> _parse_token_counts("2147483648,80")
+    (1000000000, 80)
 
     """
     prompt, _, output = text.partition(",")
     try:
-        return int(prompt), int(output or 0)
+        return _bounded_tokens(prompt), _bounded_tokens(output or "0")
     except ValueError:
         return 0, 0
 
 
+def _bounded_tokens(text: str) -> int:
+    return min(max(int(text), 0), MAX_TOKENS)
+
+
 def _parse_shared_parts(text: str) -> tuple[str, ...]:
     """Return the ids of all parts of a prompt but the last, which is its own.
 
--- a/packages/gateway/eelgrassdale_gateway/messages.py
+++ b/packages/gateway/eelgrassdale_gateway/messages.py
@@ -29,6 +29,9 @@
 ServerNotice = _module.ServerNotice
 SoundNotice = _module.SoundNotice
 
+# Largest value of an `i32` field; the codec raises an error for more.
+MAX_INT32 = 2**31 - 1
+
 # The compiled codec; the default one takes ten times as long.
 _protocols = TCyBinaryProtocolFactory()
 
--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -16,6 +16,7 @@
 from eelgrassdale.hashing import rendezvous_order
 from eelgrassdale_gateway.loads import Load, LoadTracker
 from eelgrassdale_gateway.messages import (
+    MAX_INT32,
     AdvisoryNotice,
     Heartbeat,
     KindRevision,
@@ -252,7 +253,11 @@
             data_centre=self.me.data_centre,
             region=self.me.region,
             loads=[
-                ServerLoad(server=server, requests=load.requests, tokens=load.tokens)
+                ServerLoad(
+                    server=server,
+                    requests=load.requests,
+                    tokens=min(load.tokens, MAX_INT32),
+                )
                 for server, load in (loads.items() if with_loads else ())
             ],
             known=[
--- a/packages/gateway/eelgrassdale_gateway/quarantine/exchange.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/exchange.py
@@ -16,6 +16,7 @@
 from eelgrassdale.clock import Clock
 from eelgrassdale_gateway.broadcasting import Broadcaster
 from eelgrassdale_gateway.messages import (
+    MAX_INT32,
     CrashNotice,
     PromptNotice,
     QuarantineNotice,
@@ -248,4 +249,4 @@
 
 
 def _milliseconds(seconds: float) -> int:
-    return max(0, round(seconds * 1000))
+    return min(max(0, round(seconds * 1000)), MAX_INT32)
--- a/packages/gateway/eelgrassdale_gateway/tests/test_forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_forwarding.py
@@ -376,3 +376,26 @@
         return head.status, errors
 
     assert run_scenario(scenario) == (504, [])
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"t_tokens": f"{2**40},{2**40}"},
+        {"t_tokens": "-5,-5"},
+        {"t_length": "9" * 5000, "t_tokens": "1,1"},
+        {"t_time_left": "nan"},
+        {"t_time_left": "inf"},
+    ],
+)
+def test_odd_numbers_of_a_caller_end_no_more_than_its_request(headers):
+    """Guards against a number that a heartbeat or a timer cannot hold."""
+
+    async def scenario(harness):
+        backend = ScriptedBackend(reply=reply_with(signed_response))
+        await harness.start("plain", backend)
+        head, _ = await harness.send_request("/safe/", **headers)
+        loads = harness.dispatcher.loads.own_loads()
+        return head.status, all(load.tokens >= 0 for load in loads.values())
+
+    assert run_scenario(scenario) == (200, True)
