Send the events before a gap to the caller

A resumed stream lacked events: where a server skipped an event number, those before it that had arrived in the same piece were counted as sent and dropped, and the next server went on after them (ORDER).

Cause: the last event id was set for each event of a piece, and the gap then ended the attempt before any was written.

Ruled out: the splitting of events; it returns all of them.

Change: what stands before the gap is sent, then the attempt ends.

Result: the new case of test_cut_responses.py failed before (events 3 and 4 of 4 arrived) and passes.

--- a/packages/gateway/eelgrassdale_gateway/responses.py
+++ b/packages/gateway/eelgrassdale_gateway/responses.py
@@ -135,24 +135,33 @@
     Raises `InvalidEventStream` if one is missing between them.
     """
     new_events = []
+    has_gap = False
     for event in events:
         if event.number is not None:
             last_event_id = call.last_event_id
             if last_event_id is not None and event.number <= last_event_id:
                 continue
-            if last_event_id is not None and event.number != last_event_id + 1:
-                raise InvalidEventStream("gap in the event ids")
+            has_gap = last_event_id is not None and event.number != last_event_id + 1
+            if has_gap:
+                break
             call.last_event_id = event.number
         new_events.append(event)
-    if not new_events:
-        return
-    event_count = sum(event.has_content for event in new_events)
+    if new_events:
+        await _send_events(call, head, new_events, now=now)
+    if has_gap:
+        raise InvalidEventStream("gap in the event ids")
+
+
+async def _send_events(
+    call: Call, head: ResponseHead, events: list[StreamEvent], *, now: float
+) -> None:
+    event_count = sum(event.has_content for event in events)
     if event_count:
         call.event_count += event_count
         call.attempt_event_count += event_count
         call.last_event_at = now
     await _start_response(call, head)
-    await call.exchange.write(b"".join(event.data for event in new_events))
+    await call.exchange.write(b"".join(event.data for event in events))
 
 
 async def _start_response(call: Call, head: ResponseHead) -> None:
--- a/packages/gateway/eelgrassdale_gateway/tests/test_cut_responses.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_cut_responses.py
@@ -281,3 +281,29 @@
         )
 
     assert run_scenario(scenario)
+
+
+def test_events_before_a_gap_reach_the_caller_of_a_stream_that_is_resumed():
+    """Guards against events that count as sent and are missing from the stream."""
+    arrivals = []
+
+    async def with_gap(req, writer):
+        events = b"".join(event(number) for number in (1, 2, 4))
+        writer.write(stream_head(req) + chunk(events) + chunk(b""))
+
+    async def rest(req, writer):
+        first = int(req.get("t-last-event", 0)) + 1
+        events = b"".join(event(number) for number in range(first, 5))
+        writer.write(stream_head(req) + chunk(events) + chunk(b""))
+
+    async def reply(req, writer):
+        arrivals.append(req)
+        await (with_gap if len(arrivals) == 1 else rest)(req, writer)
+
+    async def scenario(harness):
+        backends = [ScriptedBackend(reply=reply) for _ in range(2)]
+        await harness.start("engine", *backends)
+        return await read_raw(harness, "/stream/")
+
+    whole = b"".join(event(number) for number in range(1, 5))
+    assert run_scenario(scenario) == (200, whole, True)
