Break a resumed stream off that lacks an event it began

Cause: a stream had to have an event in any of its attempts, and the part of a further event was forgotten with the attempt that had it.

Ruled out: the end without a length; a framed end gave the same.

Change: part of an event marks the request until the next event comes; a stream that ends with the mark is broken off.

Result: both cases of test_cut_responses.py failed before and pass; a stream whose last event had come stays complete.

--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -13,13 +13,13 @@
 class Call:
     """State of one caller's request across all of its attempts.
 
-    `send_count` counts the times it was written to a connection, `run_count`
-    the attempts that may have run it. `event_count` and `last_event_id` describe
-    the stream events already relayed to the caller. `response_memory` counts the
-    bytes of a response that are held. `attempt_has_head` and `attempt_event_count`
-    describe the response to the newest attempt. `next_place` is a place that was found
-    for the next one. `retry_at` is when a refused caller may come back, if that is
-    known.
+    `send_count` counts the times it was written to a connection, `run_count` the
+    attempts that may have run it. `event_count` and `last_event_id` describe the stream
+    events already relayed to the caller; `lacks_event` is true if the stream is known
+    to have a further one. `response_memory` counts the bytes of a response that are
+    held. `attempt_has_head` and `attempt_event_count` describe the response to the
+    newest attempt. `next_place` is a place that was found for the next one. `retry_at`
+    is when a refused caller may come back, if that is known.
     """
 
     admitted: AdmittedRequest
@@ -33,6 +33,7 @@
     last_event_at: float = 0.0
     attempt_has_head: bool = False
     attempt_event_count: int = 0
+    lacks_event: bool = False
     next_place: Place | None = None
     retry_at: float | None = None
 
--- a/packages/gateway/eelgrassdale_gateway/responses.py
+++ b/packages/gateway/eelgrassdale_gateway/responses.py
@@ -99,9 +99,12 @@
                     on_first_event()
     except InvalidEventStream as exc:
         return Lost(reason=str(exc)), False
+    finally:
+        # Part of an event shows that there is one more.
+        call.lacks_event = call.lacks_event or splitter.has_partial_event()
     if splitter.has_partial_event():
         return Lost(reason="stream ended within an event"), False
-    if not call.event_count:
+    if call.lacks_event or not call.event_count:
         # Without a length, the end of a failed server's connection looks like this.
         return Lost(reason="stream ended without an event"), False
     await _start_response(call, head)
@@ -157,6 +160,7 @@
 ) -> None:
     event_count = sum(event.has_content for event in events)
     if event_count:
+        call.lacks_event = False
         call.event_count += event_count
         call.attempt_event_count += event_count
         call.last_event_at = now
--- a/packages/gateway/eelgrassdale_gateway/tests/test_cut_responses.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_cut_responses.py
@@ -307,3 +307,54 @@
 
     whole = b"".join(event(number) for number in range(1, 5))
     assert run_scenario(scenario) == (200, whole, True)
+
+
+@pytest.mark.parametrize("is_framed", [True, False])
+def test_resumed_stream_without_an_event_is_cut_where_one_is_missing(is_framed):
+    """Guards against a stream that passes for complete after part of an event."""
+    arrivals = []
+
+    async def cut_within_an_event(req, writer):
+        writer.write(stream_head(req) + chunk(event(1)) + chunk(event(2)[:5]))
+
+    async def end_at_once(req, writer):
+        if is_framed:
+            writer.write(stream_head(req) + chunk(b""))
+        else:
+            await unframed_stream()(req, writer)
+
+    async def reply(req, writer):
+        arrivals.append(req)
+        await (cut_within_an_event if len(arrivals) == 1 else end_at_once)(req, writer)
+        writer.close()
+
+    async def scenario(harness):
+        backends = [ScriptedBackend(reply=reply) for _ in range(2)]
+        await harness.start("engine", *backends)
+        return await read_raw(harness, "/stream/")
+
+    status, body, is_complete = run_scenario(scenario)
+    assert (status, body, is_complete) == (200, event(1), False)
+
+
+def test_resumed_stream_whose_last_event_had_come_is_complete():
+    """Guards against a sound end that is taken for a cut."""
+    arrivals = []
+
+    async def cut_before_the_end(req, writer):
+        writer.write(stream_head(req) + chunk(event(1)) + chunk(event(2)))
+
+    async def end_at_once(req, writer):
+        writer.write(stream_head(req) + chunk(b""))
+
+    async def reply(req, writer):
+        arrivals.append(req)
+        await (cut_before_the_end if len(arrivals) == 1 else end_at_once)(req, writer)
+        writer.close()
+
+    async def scenario(harness):
+        backends = [ScriptedBackend(reply=reply) for _ in range(2)]
+        await harness.start("engine", *backends)
+        return await read_raw(harness, "/stream/")
+
+    assert run_scenario(scenario) == (200, event(1) + event(2), True)
