Compare staged chunks anew after a pause before the order

Cause: the order waits for a notice to spread and was judged again only by its version. What the comparison had found could be seconds old.

Ruled out: chunks staged in between; a lock excludes them.

Change: the age of the comparison is judged right before the order by a clock that runs on during a pause. After 2 s (the rule allows 3 s) it is made anew.

--- a/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
@@ -13,7 +13,7 @@
 import structlog
 from attrs import frozen
 
-from eelgrassdale.clock import Clock
+from eelgrassdale.clock import Clock, boottime_seconds
 from eelgrassdale_gateway.staging.chunks import ChunkSet
 from eelgrassdale_gateway.staging.engine import (
     Engine,
@@ -42,6 +42,9 @@
 # takes 0.3 s or more, and requests that are queued at the engine could begin
 # after the newer version became mandatory.
 MIN_SERVING_SECONDS = 1.5
+# A load must not take what turned bad more than 3 s before. What was compared longer
+# ago than this is compared anew before the order.
+MAX_COMPARISON_AGE_SECONDS = 2.0
 
 log = structlog.get_logger(__name__)
 
@@ -76,6 +79,8 @@
     before_transfer : callable
         Coroutine function called while the manifest of a version is read, to
         refresh the data behind the other callables.
+    boottime : callable
+        Returns the time in seconds by a clock that also runs while the VM is suspended.
     """
 
     def __init__(
@@ -88,8 +93,10 @@
         peer_engines: Callable[[], Collection[str]],
         announce: Callable[[bool, str, int], None],
         before_transfer: Callable[[], Awaitable[None]],
+        boottime: Callable[[], float] = boottime_seconds,
     ) -> None:
         self._cfg = cfg
+        self._boottime = boottime
         self._engine = engine
         self._fetcher = fetcher
         self._clock = clock
@@ -303,19 +310,25 @@
     async def _load(self, model: HeldVersions, chunks: ChunkSet) -> None:
         try:
             async with self._staging_lock:
+                compared_at = self._boottime()
                 await self._restage_mismatched(chunks)
-                may_have_started = await self._order_load(model, chunks)
+                may_have_started = await self._order_load(
+                    model, chunks, compared_at=compared_at
+                )
             if may_have_started:
                 await self._await_loaded(chunks)
         finally:
             await self._announce_state(chunks.manifest.model)
 
-    async def _order_load(self, model: HeldVersions, chunks: ChunkSet) -> bool:
+    async def _order_load(
+        self, model: HeldVersions, chunks: ChunkSet, *, compared_at: float
+    ) -> bool:
         """Announce the engine as closed and order the load.
 
-        Return whether the load may have begun. The version is judged again right
-        before the order: this process may have been paused since, or waited long for
-        the engine, and a newer version may have become the target.
+        Return whether the load may have begun. The version, and the comparison of the
+        staged chunks that began at `compared_at`, are judged again right before the
+        order: this process may have been paused since, or waited long for the engine.
+        What is not ordered is tried again in the next step.
         """
         manifest = chunks.manifest
         state = await self._engine.read_state()
@@ -327,6 +340,15 @@
         if not self._serves_long_enough(model, chunks):
             log.info("load not ordered: version is obsolete", version=manifest.key)
             return False
+        age_seconds = self._boottime() - compared_at
+        if age_seconds > MAX_COMPARISON_AGE_SECONDS:
+            log.warning(
+                "load not ordered: chunks were compared too long ago",
+                version=manifest.key,
+                seconds=round(age_seconds, 3),
+            )
+            self._notify()
+            return False
         answer = await self._engine.load(
             manifest.model, manifest.version, state.sequence
         )
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/test_reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/test_reconciler.py
@@ -5,6 +5,7 @@
 
 from attrs import evolve
 
+from eelgrassdale.clock import boottime_seconds
 from eelgrassdale_gateway.staging import turns
 from eelgrassdale_gateway.staging.tests.cluster import (
     BYTE_PAIRS_PER_CHUNK,
@@ -391,3 +392,35 @@
         return [version for version, _ in engine.loaded]
 
     assert run_scenario(scenario, version_grace=1.0) == [3]
+
+
+def test_chunk_that_turns_bad_in_a_pause_before_the_order_is_not_loaded():
+    """Guards against an order that rests on a comparison from before a pause."""
+    pauses = []
+
+    async def scenario(cluster):
+        engine = cluster.engines["a-1"]
+        reconciler = cluster.reconcilers["a-1"]
+        read_state, read_chunk = engine.read_state, engine.read_chunk
+        is_compared = False
+
+        async def record_comparison(model, index, *, max_bytes):
+            nonlocal is_compared
+            is_compared = index == CHUNK_COUNT - 1
+            return await read_chunk(model, index, max_bytes=max_bytes)
+
+        async def pause_before_the_order():
+            if is_compared and not pauses:
+                pauses.append(4.0)
+                engine.chunks[3] = b"rotten"
+            return await read_state()
+
+        engine.read_chunk = record_comparison
+        engine.read_state = pause_before_the_order
+        reconciler._boottime = lambda: boottime_seconds() + sum(pauses)
+        cluster.set_target_version(2)
+        await cluster.wait_for(2)
+        return all_loads_valid(cluster)
+
+    assert run_scenario(scenario)
+    assert pauses
