Count the grace of a version from its source's last answer

Cause: the grace counted from when the gateway learned of the version, although its source had not answered for a while.

Ruled out: a pause of the gateway itself, which shortens the grace already.

Change: a mirror that reads its kind again after it followed another gateway says how long ago that gateway last answered, and the grace of older versions is shortened by it. Outages of the store do not count.

Result: the new case of test_mirror.py needs the value, which did not exist before.

--- a/packages/gateway/eelgrassdale_gateway/mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/mirror.py
@@ -37,6 +37,15 @@
     debounce_seconds : float
         Seconds between a change and the next call. Kinds with many writers change
         in bursts, which then cost one call.
+    follows_gateway : callable
+        Returns whether the copy comes from another gateway, which may stand still.
+
+    Attributes
+    ----------
+    staleness_seconds : float
+        How long ago the changes may have been made with which `on_change` is called.
+        It is above 0 where the whole kind was read again as the gateway from which
+        changes came did not tell of them. An outage of the store does not count.
     """
 
     def __init__(
@@ -48,15 +57,19 @@
         on_change: Callable[[Mapping[str, StoredObject]], None],
         on_recovery: Callable[[float], None] = lambda seconds: None,
         debounce_seconds: float = 0.0,
+        follows_gateway: Callable[[], bool] = lambda: False,
     ) -> None:
         self._source = source
         self._clock = clock
         self._on_change = on_change
         self._on_recovery = on_recovery
         self._debounce_seconds = debounce_seconds
+        self._follows_gateway = follows_gateway
         self.kind = kind
         self.change_log = ChangeLog()
+        self.staleness_seconds = 0.0
         self._revision: int | None = None
+        self._answered_at: float | None = None
         self._store_failed = False
         self._unavailable_since: float | None = None
         self._backoff_seconds = MIN_BACKOFF_SECONDS
@@ -107,7 +120,11 @@
 
     async def _step(self) -> None:
         if self._revision is None:
+            has_followed = self._follows_gateway()
             listing = await self._source.list(self.kind)
+            self.staleness_seconds = 0.0
+            if has_followed and not self._store_failed:
+                self.staleness_seconds = self._seconds_without_answer()
             self._record_success()
             self._revision = listing.revision
             objects = {item.name: item for item in listing.objects}
@@ -117,6 +134,7 @@
         changes = await self._source.watch(
             self.kind, revision=self._revision, wait_seconds=WATCH_TIMEOUT_SECONDS
         )
+        self.staleness_seconds = 0.0
         self._record_success()
         self._revision = max(self._revision, changes.revision)
         self.change_log.add(changes.changes, self._revision)
@@ -124,7 +142,13 @@
             self._on_change(self.change_log.objects)
             await asyncio.sleep(self._debounce_seconds)
 
+    def _seconds_without_answer(self) -> float:
+        if self._answered_at is None:
+            return 0.0
+        return self._clock.monotonic() - self._answered_at
+
     def _record_success(self) -> None:
+        self._answered_at = self._clock.monotonic()
         self._backoff_seconds = MIN_BACKOFF_SECONDS
         if self._unavailable_since is None:
             return
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -199,7 +199,7 @@
     def mirror_store(
         self,
         store: ObjectSource,
-        make_mirrors: Callable[[ObjectSource], Sequence[Mirror]],
+        make_mirrors: Callable[[SharedSource], Sequence[Mirror]],
     ) -> None:
         """Mirror the store's objects, read from it or from other gateways."""
         source = SharedSource(
@@ -257,15 +257,19 @@
         if delay is not None:
             asyncio.get_running_loop().call_later(delay, self._recheck_servers)
 
-    def set_target_versions(self, versions: Mapping[str, int]) -> None:
-        """Apply the version set by operators for each model, and prefetch new ones."""
+    def set_target_versions(
+        self, versions: Mapping[str, int], *, staleness_seconds: float = 0.0
+    ) -> None:
+        """Apply the versions of models, set at most so long ago; prefetch new ones."""
         # Versions set before this process started are already loaded nearly everywhere.
         is_first_list = not self.routing_state.has_target_versions
         previous_versions = self.routing_state.target_versions()
         self.routing_state.set_target_versions(
             versions,
             self._clock.monotonic(),
-            staleness_seconds=self._pauses.stale_event_seconds(),
+            staleness_seconds=max(
+                staleness_seconds, self._pauses.stale_event_seconds()
+            ),
         )
         for model, version in versions.items():
             if not is_first_list and version > previous_versions.get(model, 0):
--- a/packages/gateway/eelgrassdale_gateway/tests/test_mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_mirror.py
@@ -129,3 +129,42 @@
     snapshots, _ = run_mirror(source, calls=3)
     assert snapshots == [{"a": 1}]
     assert source.calls[-1] == "watch 8"
+
+
+def staleness_of(*answers, follows_gateway):
+    """Return the staleness with which the last of the listings was applied."""
+    seen = []
+    source = ScriptedSource(*answers)
+
+    async def run():
+        mirror = Mirror(
+            kind="k",
+            source=source,
+            clock=SystemClock(),
+            on_change=lambda _objects: seen.append(mirror.staleness_seconds),
+            follows_gateway=lambda: follows_gateway,
+        )
+        task = asyncio.ensure_future(mirror.run())
+        async with asyncio.timeout(5):
+            while len(seen) < 2:
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(run())
+    return seen[-1]
+
+
+def unavailable(*, is_store_failure):
+    return StoreUnavailable("scripted", is_store_failure=is_store_failure)
+
+
+def test_changes_missed_by_a_silent_gateway_may_be_as_old_as_its_last_answer():
+    """Guards against an old version that serves too long behind frozen watchers."""
+    before, after = listing(1, item("a", 1)), listing(2, item("a", 2, revision=2))
+    silent = [unavailable(is_store_failure=False) for _ in range(3)]
+    assert staleness_of(before, *silent, after, follows_gateway=True) > 0.1
+    assert staleness_of(before, *silent, after, follows_gateway=False) == 0.0
+    outage = unavailable(is_store_failure=True)
+    assert staleness_of(before, outage, after, follows_gateway=True) == 0.0
+    change = changes(2, (item("a", 2, revision=2), False))
+    assert staleness_of(before, change, follows_gateway=True) == 0.0
