Start a new check where the last one has just ended

A request that lost its server in the moment in which another request's check of that server ended would have asked the same check for ever, without a turn for the event loop. Found by reading; no caller saw it.

Cause: a check that is done stays listed until its callback runs.

Ruled out: the same for checks under way, which are awaited.

Change: a check that is done counts as none. The search for another place is ended without taking a cancellation of the request for that of the search, and after the connection is closed.

Result: the new case of test_serverends.py hangs before and passes.

--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -127,11 +127,11 @@
             call.next_place = watch.place
             outcome = Lost(reason="no progress within the time limit")
         finally:
-            await watch.stop_seeking()
             if is_reusable:
                 self._pool.release(conn)
             else:
                 conn.close()
+            await watch.stop_seeking()
         if isinstance(outcome, Lost | Answered | Relayed):
             outcome = evolve(outcome, is_disconnected=conn.is_disconnected)
         return outcome
--- a/packages/gateway/eelgrassdale_gateway/serverends.py
+++ b/packages/gateway/eelgrassdale_gateway/serverends.py
@@ -63,7 +63,7 @@
         asked_at = asyncio.get_running_loop().time()
         while server.incarnation not in self._ended:
             check = self._checks.get(server.incarnation)
-            if check is None:
+            if check is None or check.task.done():
                 check = self._start_check(server)
             has_ended = await asyncio.shield(check.task)
             # A server that was found running before may have ended since.
@@ -78,9 +78,13 @@
             task=asyncio.ensure_future(self._check(server)),
         )
         self._checks[incarnation] = check
-        check.task.add_done_callback(lambda _: self._checks.pop(incarnation, None))
+        check.task.add_done_callback(lambda _: self._forget(incarnation, check))
         return check
 
+    def _forget(self, incarnation: Incarnation, check: "_Check") -> None:
+        if self._checks.get(incarnation) is check:
+            del self._checks[incarnation]
+
     async def _check(self, server: BackendServer) -> bool:
         try:
             conn = await self._open_connection(server.address)
--- a/packages/gateway/eelgrassdale_gateway/stalls.py
+++ b/packages/gateway/eelgrassdale_gateway/stalls.py
@@ -83,10 +83,9 @@
         if seeking is None:
             return
         seeking.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            place = await seeking
-            if place is not None:
-                self._release_place(place)
+        await asyncio.wait((seeking,))
+        if not seeking.cancelled() and (place := seeking.result()) is not None:
+            self._release_place(place)
 
     async def _wait_for_bytes_or_place(self, conn: ClientConnection) -> None:
         """Return when bytes have arrived, or no place is to be had for the moment."""
--- a/packages/gateway/eelgrassdale_gateway/tests/test_serverends.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_serverends.py
@@ -88,3 +88,33 @@
         return await first, set(later), len(opened)
 
     assert asyncio.run(scenario()) == (False, {True}, 2)
+
+
+def test_request_that_meets_a_check_as_it_ends_starts_another():
+    """Guards against a loop that never lets the event loop go on."""
+
+    async def scenario():
+        detector, opened = scripted_detector([None, ConnectionRefusedError()])
+        results = []
+
+        async def ask_once_the_check_is_done():
+            while not (check := detector._checks.get(SERVER.incarnation)):
+                await asyncio.sleep(0)
+            check.task.add_done_callback(
+                lambda _: results.append(
+                    asyncio.ensure_future(detector.has_ended(SERVER))
+                )
+            )
+            while not check.task.done():
+                await asyncio.sleep(0)
+            return await detector.has_ended(SERVER)
+
+        first = asyncio.ensure_future(detector.has_ended(SERVER))
+        late = await ask_once_the_check_is_done()
+        return await first, late, await results[0], len(opened)
+
+    async def run():
+        async with asyncio.timeout(2):
+            return await scenario()
+
+    assert asyncio.run(run()) == (False, True, True, 2)
