Split a long condition, and move how a transfer ended to its model

Ruled out: a change of what they do.

Change: `HeldVersions.outcome_of`, `PromptQuarantine._suspect_crashes`.

Result: the tests of both packages pass.

--- a/packages/gateway/eelgrassdale_gateway/quarantine/state.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/state.py
@@ -128,16 +128,9 @@
         if not parts or parts.isdisjoint(self._watched_parts):
             return False
         crashes = self._counted_crashes()
-        least = SUSPECT_CRASHES
-        if has_answer_begun:
-            least = SUSPECT_CRASHES_AS_ANSWER_BEGAN
         return any(
             count_moments(crashes[part].values())
-            >= (
-                SUSPECT_CRASHES_OF_BEGUN_PART
-                if self._history.has_begun(part)
-                else least
-            )
+            >= self._suspect_crashes(part, has_answer_begun=has_answer_begun)
             for part in parts & crashes.keys()
         )
 
@@ -255,6 +248,12 @@
         self._store(quarantine)
         self._reduce_to_unsound()
 
+    def _suspect_crashes(self, part: str, *, has_answer_begun: bool) -> int:
+        """Return the number of crashes after which a part is suspect."""
+        if self._history.has_begun(part):
+            return SUSPECT_CRASHES_OF_BEGUN_PART
+        return SUSPECT_CRASHES_AS_ANSWER_BEGAN if has_answer_begun else SUSPECT_CRASHES
+
     def _matching(self, parts: frozenset[str]) -> list[Quarantine]:
         if not self._quarantines:
             return []
--- a/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
@@ -227,9 +227,7 @@
             ):
                 await asyncio.wait({fetching}, timeout=STALL_POLL_SECONDS)
                 if fetching.done():
-                    return _transfer_outcome(
-                        model, chunks, is_complete=fetching.result()
-                    )
+                    return model.outcome_of(chunks, is_complete=fetching.result())
                 if chunks.count > held_count:
                     held_count, progress_at = chunks.count, self._clock.monotonic()
             model.stalled = chunks.manifest.version
@@ -385,19 +383,6 @@
         self._announce(not state.is_busy, model, state.versions.get(model, 0))
 
 
-def _transfer_outcome(
-    model: HeldVersions, chunks: ChunkSet, *, is_complete: bool
-) -> TransferOutcome:
-    if is_complete:
-        return TransferOutcome.COMPLETE
-    # The transfer of a wanted version ends early only when its manifest is in doubt.
-    return (
-        TransferOutcome.USELESS
-        if model.is_wanted(chunks)
-        else TransferOutcome.SUPERSEDED
-    )
-
-
 async def _cancel(fetching: "asyncio.Future[bool]") -> None:
     fetching.cancel()
     with contextlib.suppress(asyncio.CancelledError, ExceptionGroup):
--- a/packages/gateway/eelgrassdale_gateway/staging/versions.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/versions.py
@@ -82,6 +82,15 @@
         completed = [version for version, held in self.sets.items() if held.is_complete]
         return self.sets[max(completed)] if completed else None
 
+    def outcome_of(self, chunks: ChunkSet, *, is_complete: bool) -> TransferOutcome:
+        """Return how a transfer that has ended by itself ended."""
+        if is_complete:
+            return TransferOutcome.COMPLETE
+        # That of a wanted version ends early only when its manifest is in doubt.
+        if self.is_wanted(chunks):
+            return TransferOutcome.USELESS
+        return TransferOutcome.SUPERSEDED
+
     def is_wanted(self, chunks: ChunkSet) -> bool:
         """Return whether a version is worth fetching.
 
