--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -229,6 +229,13 @@
 
         try:
             return await self._run_attempt(call, place, claim)
+        except asyncio.CancelledError:
+            self._telemetry.record_cancelled_continuation(
+                request_id=call.admitted.request_id,
+                server=place[0].server.id,
+                is_claimed=is_claimed,
+            )
+            raise
         finally:
             if not is_claimed:
                 call.attempt = progress
--- a/packages/gateway/eelgrassdale_gateway/telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/telemetry.py
@@ -143,6 +143,20 @@
                     per_second=per_second,
                 )
 
+    def record_cancelled_continuation(
+        self, *, request_id: str, server: str, is_claimed: bool
+    ) -> None:
+        """Log that a silent server went on, or that the caller or time limit ended it.
+
+        `is_claimed` is true if the continuation had relayed an event.
+        """
+        log.info(
+            "continuation cancelled",
+            request=request_id,
+            server=server,
+            is_claimed=is_claimed,
+        )
+
     def record_retry_refusal(self, *, request_id: str, reason: str) -> None:
         """Log why a failed attempt is not retried."""
         log.info("request not retried", request=request_id, reason=reason)
