Take an enormous rate limit of a backend server

What callers saw: connections closed without a response, and others refused, for all requests of a service for up to a minute after one of its servers named a limit near the largest float. Not seen outside the test.

Cause: the number of gateways that share the limit was converted to an integer from twice the rate, which is infinite then. The OverflowError ended each pass over the queue of the service, and the request that ran the pass.

Evidence: test_enormous_rate_of_a_server_raises_no_error raised OverflowError before.

Why the fix works: no more senders are needed than there are gateways, so the number is bounded by theirs before it is converted.

--- a/packages/gateway/eelgrassdale_gateway/advisories/ratelimiter.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/ratelimiter.py
@@ -104,9 +104,11 @@
 
     def _share(self, incarnation: Incarnation, rate: float) -> float:
         rate = max(rate, MIN_REQUESTS_PER_SECOND)
+        group = self._gateway_group()
+        senders = min(SENDERS_PER_REQUEST_PER_SECOND * rate, group.count)
         return equal_share(
             rate,
             resource=incarnation[0],
-            gateway_group=self._gateway_group(),
-            max_members=MIN_SENDERS + int(SENDERS_PER_REQUEST_PER_SECOND * rate),
+            gateway_group=group,
+            max_members=MIN_SENDERS + int(senders),
         )
--- a/packages/gateway/eelgrassdale_gateway/advisories/tests/test_ratelimiter.py
+++ b/packages/gateway/eelgrassdale_gateway/advisories/tests/test_ratelimiter.py
@@ -93,3 +93,11 @@
     limiter.record_send(("s", 1), now=after_freeze)
     next_at = limiter.next_send_at(("s", 1), rate=5.0, now=after_freeze)
     assert next_at == pytest.approx(after_freeze + 0.2)
+
+
+def test_enormous_rate_of_a_server_raises_no_error():
+    """Guards against a dispatch pass that ends by an overflow for its whole service."""
+    names = gateway_names(3)
+    for limiter in limiters_of(names, names):
+        limiter.next_send_at(("s", 1), rate=1e308, now=0.0)
+        assert limiter.next_send_at(("s", 1), rate=1e308, now=0.1) == 0.1
