Place requests at an engine without a reading speed

What callers saw: connections closed without a response, for all requests of a service whose engine is configured with a reading speed of 0. Not seen outside the test.

Cause: the estimate of the first event divided by the speed; the ZeroDivisionError escaped the handler.

Evidence: test_engine_without_a_reading_speed_takes_requests raised ZeroDivisionError before.

Why the fix works: a speed of 0 now means that it is not known, and the time to read a prompt is left out of the estimates.

--- a/packages/gateway/eelgrassdale_gateway/model.py
+++ b/packages/gateway/eelgrassdale_gateway/model.py
@@ -52,10 +52,10 @@
 class EngineProfile:
     """Speed and size of a service's model engines.
 
-    `prefill_tokens_per_second` is the prompt tokens read per second. In each step of
-    `decode_step_seconds`, every running request generates one token.
-    `steps_per_event` is the number of steps between two events, `models` the names of
-    the models that they run.
+    `prefill_tokens_per_second` is the prompt tokens read per second, 0 if it is not
+    known. In each step of `decode_step_seconds`, every running request generates one
+    token. `steps_per_event` is the number of steps between two events, `models` the
+    names of the models that they run.
     """
 
     slots: int
--- a/packages/gateway/eelgrassdale_gateway/placement.py
+++ b/packages/gateway/eelgrassdale_gateway/placement.py
@@ -11,7 +11,7 @@
 from attrs import frozen
 
 from eelgrassdale_gateway.loads import Load
-from eelgrassdale_gateway.model import BackendServer, Service
+from eelgrassdale_gateway.model import BackendServer, EngineProfile, Service
 
 # Requests that a model engine gets beyond its slots. A request queued at an engine
 # cannot be moved to another one, so nearly all requests wait at the gateway.
@@ -82,9 +82,7 @@
     if engine is None:
         return candidate.load.requests / max(candidate.server.slots, 1)
     event_interval_seconds = engine.decode_step_seconds * engine.steps_per_event
-    prefill_seconds = (
-        candidate.load.tokens + tokens
-    ) / engine.prefill_tokens_per_second
+    prefill_seconds = _prefill_seconds(engine, candidate.load.tokens + tokens)
     current_pass_seconds = (
         event_interval_seconds / 2 if candidate.load.requests else 0.0
     )
@@ -97,11 +95,17 @@
     if engine is None:
         return 0.0
     return (
-        tokens / engine.prefill_tokens_per_second
+        _prefill_seconds(engine, tokens)
         + 2 * engine.decode_step_seconds * engine.steps_per_event
     )
 
 
+def _prefill_seconds(engine: EngineProfile, tokens: int) -> float:
+    """Return the seconds to read prompt tokens, 0 if the speed is not known."""
+    speed = engine.prefill_tokens_per_second
+    return tokens / speed if speed else 0.0
+
+
 def streaming_seconds(service: Service, tokens: int) -> float:
     """Return the seconds from the first event to the last at an idle engine."""
     return (
--- a/packages/gateway/eelgrassdale_gateway/tests/test_placement.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_placement.py
@@ -2,9 +2,17 @@
 
 from random import Random
 
+import pytest
+from attrs import evolve
+
 from eelgrassdale_gateway.loads import Load
 from eelgrassdale_gateway.model import BackendServer, EngineProfile, Service
-from eelgrassdale_gateway.placement import Candidate, has_capacity, place
+from eelgrassdale_gateway.placement import (
+    Candidate,
+    has_capacity,
+    min_first_event_seconds,
+    place,
+)
 
 ENGINE = EngineProfile(
     slots=16,
@@ -69,3 +77,13 @@
 def test_plain_service_takes_a_few_requests_beyond_its_slots():
     assert has_capacity(PLAIN, candidate("a", requests=6, slots=6), 0)
     assert not has_capacity(PLAIN, candidate("a", requests=18, slots=6), 0)
+
+
+def test_engine_without_a_reading_speed_takes_requests():
+    """Guards against a division by zero, which left each request without an answer."""
+    engine = evolve(ENGINE, prefill_tokens_per_second=0.0)
+    service = Service(name="m", engine=engine)
+    assert min_first_event_seconds(service, 1000) == pytest.approx(0.0927)
+    assert place(
+        service=service, candidates=[candidate("a")], tokens=1000, rng=Random(1)
+    )
