Answer a request whose handler fails

What callers saw: where a handler ended by an error of its own, the connection closed without a response. So did errors that are OSError but not of the connection to the caller, and a cancellation that the server did not ask for; those left no trace.

Cause: the server caught OSError and TimeoutError to tell that a caller was gone, and nothing else. The class is an error path that ends without a response.

Why the fix works: where the handler ended by itself and the connection is open, the error is logged once with the id of the request and the traceback, and the caller gets status 500, which does not say that the request did not run. A response that has begun is cut off as before.

--- a/packages/core/eelgrassdale/http1/callerconnection.py
+++ b/packages/core/eelgrassdale/http1/callerconnection.py
@@ -10,6 +10,7 @@
 from attrs import frozen
 
 from eelgrassdale.http1.exchange import Exchange
+from eelgrassdale.http1.handlererrors import answer_failed_handler
 from eelgrassdale.http1.memory import ByteBudget, MemoryExhausted
 from eelgrassdale.http1.messages import (
     Headers,
@@ -63,6 +64,7 @@
 
     body_memory: ByteBudget
     handler: Handler
+    request_id_header: str
     limits: Callable[[], CallerLimits]
     is_draining: bool
     active_requests: int
@@ -287,13 +289,29 @@
         task = asyncio.ensure_future(self._server.handler(exchange))
         try:
             await self._wait_for_handler(task)
+            await self._answer_if_failed(exchange, task)
         finally:
             if not task.done():
                 task.cancel()
-            with contextlib.suppress(asyncio.CancelledError, OSError):
+            with contextlib.suppress(asyncio.CancelledError, Exception):
                 await task
             self._server.active_requests -= 1
 
+    async def _answer_if_failed(
+        self, exchange: Exchange, task: "asyncio.Future[None]"
+    ) -> None:
+        """Answer a request whose handler ended by an error, not by its cancellation."""
+        if not task.done():
+            return
+        exc = asyncio.CancelledError() if task.cancelled() else task.exception()
+        if exc is not None:
+            await answer_failed_handler(
+                exchange,
+                exc,
+                request_id_header=self._server.request_id_header,
+                is_closed=self._writer.transport.is_closing,
+            )
+
     async def _wait_for_handler(self, task: "asyncio.Future[None]") -> None:
         """Wait until the handler ends or the caller closes the connection.
 
--- a/packages/core/eelgrassdale/http1/server.py
+++ b/packages/core/eelgrassdale/http1/server.py
@@ -33,6 +33,9 @@
     body_memory : ByteBudget, optional
         Memory for the request bodies of all callers together. A request whose body
         does not fit is refused with status 503.
+    request_id_header : str, optional
+        Name of the header with a request's id, for the response to a request whose
+        handler failed, and its log line.
     """
 
     def __init__(
@@ -41,9 +44,11 @@
         handler: Handler,
         limits: Callable[[], CallerLimits] = CallerLimits,
         body_memory: ByteBudget | None = None,
+        request_id_header: str = "",
     ) -> None:
         self.body_memory = body_memory or ByteBudget(limit=DEFAULT_BODY_MEMORY_BYTES)
         self.handler = handler
+        self.request_id_header = request_id_header
         self.limits = limits
         self.is_draining = False
         self.active_requests = 0
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -176,6 +176,7 @@
             handler=self.forwarder.handle,
             limits=self._caller_limits,
             body_memory=ByteBudget(limit=cfg.body_memory_bytes),
+            request_id_header=header_names.request_id,
         )
         self._weights = WeightsDistribution(
             me=_gateway_endpoint(self.peers.me, cfg.peer_address),
