Place the other requests when one fails a dispatch pass

What callers saw: an error with one waiting request ended the request whose arrival, first event or end had started the pass, and the requests after the failing one waited on. An error after a placement left its load counted for good.

Cause: a pass over a queue had no boundary between the requests that it places.

Evidence: test_request_that_fails_a_pass_does_not_stop_the_pass_for_others raised KeyError from the update of the list of servers before.

Why the fix works: an error is logged with its traceback and refuses its own request, which was not sent. A placement is handed over as soon as its load is counted, so that the load is removed with the attempt.

--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -184,7 +184,7 @@
         ended: set[_QueuedRequest] = set()
         for waiter in placement_order(by_waiter, now):
             queued = by_waiter[waiter]
-            if self._dispatch_one(queued, dispatch_pass):
+            if self._dispatch_or_refuse(queued, dispatch_pass):
                 ended.add(queued)
         if ended:
             # The rest stays in order of arrival, as the sort is stable.
@@ -197,6 +197,20 @@
         self._tick_timer = None
         self.dispatch_waiting()
 
+    def _dispatch_or_refuse(
+        self, queued: _QueuedRequest, dispatch_pass: _DispatchPass
+    ) -> bool:
+        """Do as `_dispatch_one`; refuse a request with which that fails."""
+        try:
+            return self._dispatch_one(queued, dispatch_pass)
+        except Exception:
+            # The error belongs neither to the other requests of the pass nor to the
+            # one whose end or arrival started it.
+            log.exception("request cannot be placed", service=queued.waiter.service)
+            if not queued.fut.done():
+                queued.fut.set_exception(PlacementRefused(ResultCode.SERVER_BUSY))
+            return True
+
     def _dispatch_one(
         self, queued: _QueuedRequest, dispatch_pass: _DispatchPass
     ) -> bool:
@@ -212,8 +226,10 @@
         placement = self._find_placement(waiter, group, now) if group else None
         if placement is not None:
             self.quarantine.record_send(waiter.prompt_parts)
-            in_flight = self._record_placement(placement, waiter, dispatch_pass)
+            server_id = placement.server.id
+            in_flight = self.loads.record_send(server_id, tokens=waiter.tokens, now=now)
             queued.fut.set_result((placement, in_flight))
+            self._update_candidates(placement.server, dispatch_pass)
             return True
         code = refusal_code(waiter, now)
         if code is not None:
@@ -226,18 +242,16 @@
             group.take_start()
         return False
 
-    def _record_placement(
-        self, placement: Placement, waiter: Waiter, dispatch_pass: _DispatchPass
-    ) -> InFlightRequest:
-        server, now = placement.server, dispatch_pass.moment.now
-        in_flight = self.loads.record_send(server.id, tokens=waiter.tokens, now=now)
-        self.eligible.record_send(server, now=now)
+    def _update_candidates(
+        self, server: BackendServer, dispatch_pass: _DispatchPass
+    ) -> None:
+        """Count a request that was just placed against the limits of its server."""
+        self.eligible.record_send(server, now=dispatch_pass.moment.now)
         for group in dispatch_pass.groups.values():
             group.replace(
                 server.id,
                 self.eligible.candidate(server, group.service, dispatch_pass.moment),
             )
-        return in_flight
 
     def _find_placement(
         self, waiter: Waiter, group: CandidateGroup, now: float
--- a/packages/gateway/eelgrassdale_gateway/tests/test_dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_dispatcher.py
@@ -5,6 +5,7 @@
 import itertools
 
 import pytest
+from structlog.testing import capture_logs
 
 from eelgrassdale.clock import ManualClock
 from eelgrassdale.results import ResultCode
@@ -288,3 +289,35 @@
         return on_time, served
 
     return asyncio.run(scenario())
+
+
+def test_request_that_fails_a_pass_does_not_stop_the_pass_for_others(monkeypatch):
+    """Guards against waiting requests that one failing request keeps in the queue."""
+
+    async def scenario():
+        cluster = Cluster(gateways=1, servers=0)
+        dispatcher = cluster.nodes[0]
+        failing, other = cluster.waiter(), cluster.waiter()
+        tasks = [
+            asyncio.ensure_future(dispatcher.place(waiter))
+            for waiter in (failing, other)
+        ]
+        await asyncio.sleep(0)
+        find_placement = dispatcher._find_placement
+
+        def find_or_fail(waiter, group, now):
+            if waiter is failing:
+                raise KeyError("x")
+            return find_placement(waiter, group, now)
+
+        monkeypatch.setattr(dispatcher, "_find_placement", find_or_fail)
+        cluster.list_servers(1)
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        return results, dispatcher.waiting_count()
+
+    with capture_logs() as logs:
+        (refused, placed), waiting_count = asyncio.run(scenario())
+    assert isinstance(refused, PlacementRefused)
+    assert placed[0].server.id == "s-0"
+    assert waiting_count == 0
+    assert [bool(line["exc_info"]) for line in logs if "exc_info" in line] == [True]
