Read what came in time before an idle connection is closed

What callers saw: a request on a kept connection ended with the connection, although it was sent within the idle timeout, where the event loop of the server was late: while it decoded a large configuration near the timeout, or after a pause of the process.

Cause: the bytes and the timeout are due in the same turn of the loop then, and the timeout cancels the read before the bytes are taken over.

Evidence: both cases of test_request_sent_in_time_is_answered_though_the_server_was_late ended without a byte before.

Why the fix works: after a timeout the read is tried once more, for 10 ms. What the loop has received by then is returned. The same holds for the timeouts of heads and bodies, which refused such requests with 408.

--- a/packages/core/eelgrassdale/http1/receiving.py
+++ b/packages/core/eelgrassdale/http1/receiving.py
@@ -3,6 +3,8 @@
 import asyncio
 
 READ_BYTES = 65_536
+# Time to take bytes over that the event loop has read already.
+LATE_READ_SECONDS = 0.01
 
 
 class Receiver:
@@ -34,6 +36,15 @@
         OSError
             If the connection was reset, or its reads were cancelled.
         """
+        try:
+            return await self._receive(timeout)
+        except TimeoutError:
+            if timeout is None:
+                raise
+            # If the event loop is late, bytes that came in time are there by now.
+            return await self._receive(LATE_READ_SECONDS)
+
+    async def _receive(self, timeout: float | None) -> bytes:
         self._require_open()
         if self._read is None:
             # No read is in progress, so the stream is read without a task.
--- a/packages/core/eelgrassdale/http1/tests/test_server.py
+++ b/packages/core/eelgrassdale/http1/tests/test_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
@@ -237,6 +238,22 @@
     assert serve(echo, client, CallerLimits(idle_seconds=0.1)) == b""
 
 
+@pytest.mark.parametrize("request_count", [1, 2])
+def test_request_sent_in_time_is_answered_though_the_server_was_late(request_count):
+    """Guards against an idle timeout that cuts a request which waits to be read."""
+
+    async def client(reader, writer, _server):
+        for _ in range(request_count):
+            await asyncio.sleep(0.1)
+            writer.write(b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+            # Blocks the event loop of the server, too.
+            time.sleep(0.3)
+            await reader.readuntil(b"hello")
+        return True
+
+    assert serve(echo, client, CallerLimits(idle_seconds=0.2))
+
+
 def test_aborting_a_connection_during_a_read_logs_no_unhandled_error(caplog):
     """Guards against an internal error in the task whose read was cancelled."""
 
