Keep running when a change of the store cannot be applied

What callers saw: every connection of a gateway closed, with requests in progress that got no response, if a new configuration or list of servers led to an unexpected error. Not seen outside the tests.

Cause: the callback runs in the task that follows the store. An error there ended the task group of the program, and so the process.

Evidence: test_change_that_cannot_be_applied_does_not_end_the_process found the task ended before.

Why the fix works: the error is logged with its traceback, what was in force before stays, and the next change is applied.

--- a/packages/gateway/eelgrassdale_gateway/mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/mirror.py
@@ -129,7 +129,7 @@
             self._revision = listing.revision
             objects = {item.name: item for item in listing.objects}
             self.change_log.replace(objects, listing.revision)
-            self._on_change(self.change_log.objects)
+            self._apply_change()
             return
         changes = await self._source.watch(
             self.kind, revision=self._revision, wait_seconds=WATCH_TIMEOUT_SECONDS
@@ -139,9 +139,16 @@
         self._revision = max(self._revision, changes.revision)
         self.change_log.add(changes.changes, self._revision)
         if changes.changes:
-            self._on_change(self.change_log.objects)
+            self._apply_change()
             await asyncio.sleep(self._debounce_seconds)
 
+    def _apply_change(self) -> None:
+        try:
+            self._on_change(self.change_log.objects)
+        except Exception:
+            # The task that runs this mirror would end the process, with all requests.
+            log.exception("objects cannot be applied", kind=self.kind)
+
     def _seconds_without_answer(self) -> float:
         if self._answered_at is None:
             return 0.0
--- a/packages/gateway/eelgrassdale_gateway/tests/test_mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_mirror.py
@@ -168,3 +168,30 @@
     assert staleness_of(before, outage, after, follows_gateway=True) == 0.0
     change = changes(2, (item("a", 2, revision=2), False))
     assert staleness_of(before, change, follows_gateway=True) == 0.0
+
+
+def test_change_that_cannot_be_applied_does_not_end_the_process():
+    """Guards against a gateway that ends with all requests at an unexpected change."""
+    applied = []
+
+    def on_change(objects):
+        if "odd" in objects:
+            raise RecursionError
+        applied.append(set(objects))
+
+    async def run():
+        source = ScriptedSource(
+            listing(1, item("odd", {})),
+            changes(2, (item("odd", {}, 2), True), (item("a", {}, 2), False)),
+        )
+        mirror = Mirror(
+            kind="k", source=source, clock=SystemClock(), on_change=on_change
+        )
+        task = asyncio.ensure_future(mirror.run())
+        await asyncio.wait((task,), timeout=0.1)
+        is_running = not task.done()
+        task.cancel()
+        return is_running
+
+    assert asyncio.run(run())
+    assert applied == [{"a"}]
