Relay streams where large responses fill the memory

What callers saw: a stream was cut, though its server was sound and its deadline far, when a part of an event arrived while the responses to other, slow callers filled the memory for responses. Not seen outside the test.

Cause: each byte of a partial event was reserved in the same memory as whole buffered responses, and the attempt was given up where it had no room.

Evidence: test_stream_is_not_cut_where_other_responses_fill_the_memory got an incomplete response before.

Why the fix works: the first 4 KiB of a partial event need no room; a connection has buffers of several times that anyway. Longer events count as before.

--- a/packages/gateway/eelgrassdale_gateway/responses.py
+++ b/packages/gateway/eelgrassdale_gateway/responses.py
@@ -31,6 +31,9 @@
 # Bytes of a stream that are split into events before other tasks run. They hold a few
 # hundred events at most.
 FEED_BYTES = 1024
+# Bytes of a partial event that need no room in the memory for responses. Otherwise
+# large responses to slow callers could end the streams of others.
+FREE_EVENT_BYTES = 4096
 
 
 def response_headers(head: ResponseHead) -> tuple[tuple[str, str], ...]:
@@ -126,7 +129,7 @@
             # Other tasks run while many events that arrived together are relayed.
             await asyncio.sleep(0)
         events = splitter.feed(data[start : start + FEED_BYTES])
-        call.response_memory.resize(splitter.buffered_bytes)
+        call.response_memory.resize(max(0, splitter.buffered_bytes - FREE_EVENT_BYTES))
         await _relay_events(call, head, events, now=clock.monotonic())
 
 
--- a/packages/gateway/eelgrassdale_gateway/tests/test_misbehaving_servers.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_misbehaving_servers.py
@@ -297,3 +297,25 @@
         return head.status, body
 
     assert run_scenario(scenario) == (200, b"ok")
+
+
+def test_stream_is_not_cut_where_other_responses_fill_the_memory():
+    """Guards against a stream that ends for a part of an event, at a sound server."""
+
+    async def reply(req, writer):
+        second = event(2)
+        parts = (stream_head(req) + chunk(event(1)), chunk(second[:5]))
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0.1)
+        writer.write(chunk(second[5:]) + chunk(b""))
+
+    async def scenario(harness):
+        memory = harness.forwarder._attempt_runner.response_memory
+        memory.reservation().resize(memory.limit)
+        await harness.start("engine", ScriptedBackend(reply=reply))
+        return await harness.send_request("/once/")
+
+    head, body = run_scenario(scenario)
+    assert head.status == 200
+    assert body == event(1) + event(2)
