Report the error of a handler that fails as it is cancelled

What callers saw: nothing, they had left. An error in the cleanup of a cancelled handler left no log line since the handlers that fail are answered.

Cause: the errors of all handlers were suppressed, not only of those that were answered and logged before.

Evidence: by reading. The tests now also check that no failed request is counted as active, which would make a stop wait for it until the end of its grace.

Why the fix works: only a handler that the connection cancels is awaited there, and only its cancellation and errors of the connection are suppressed; asyncio logs others.

--- a/packages/core/eelgrassdale/http1/callerconnection.py
+++ b/packages/core/eelgrassdale/http1/callerconnection.py
@@ -289,20 +289,19 @@
         task = asyncio.ensure_future(self._server.handler(exchange))
         try:
             await self._wait_for_handler(task)
-            await self._answer_if_failed(exchange, task)
+            if task.done():
+                await self._answer_if_failed(exchange, task)
         finally:
+            self._server.active_requests -= 1
             if not task.done():
                 task.cancel()
-            with contextlib.suppress(asyncio.CancelledError, Exception):
-                await task
-            self._server.active_requests -= 1
+                with contextlib.suppress(asyncio.CancelledError, OSError):
+                    await task
 
     async def _answer_if_failed(
         self, exchange: Exchange, task: "asyncio.Future[None]"
     ) -> None:
-        """Answer a request whose handler ended by an error, not by its cancellation."""
-        if not task.done():
-            return
+        """Answer a request whose handler ended by an error of its own."""
         exc = asyncio.CancelledError() if task.cancelled() else task.exception()
         if exc is not None:
             await answer_failed_handler(
--- a/packages/core/eelgrassdale/http1/tests/test_handlererrors.py
+++ b/packages/core/eelgrassdale/http1/tests/test_handlererrors.py
@@ -22,7 +22,9 @@
         try:
             async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
                 writer.write(data)
-                return await reader.read()
+                received = await reader.read()
+                assert server.active_requests == 0
+                return received
         finally:
             writer.close()
             server.stop_listening()
