Answer the calls that have arrived before a node stops

Cause, found by reading and shown by tests:

- NodeServer.stop shut down all connections at once.
A call in progress lost its answer, be it a refusal or the last frame of a stream.
A call that was still unread, on a connection that was just accepted or still in the backlog, was lost as well.
Its caller had to assume that it may have run.
- Agent.stop counted jobs and streams while a request was between its admission and its stream, so that it ended before a request that it had admitted.

Fix: the server accepts what the kernel has accepted, shuts down only the reading side, which still yields what was received, and waits for its calls for at most a second, after which callers give up anyway. The agent refuses new requests under the lock of the admission, so that each admitted request has its stream before streams are counted.

--- a/packages/agent/eelgrassdale_agent/program.py
+++ b/packages/agent/eelgrassdale_agent/program.py
@@ -98,7 +98,7 @@
     def stop(self) -> None:
         """Refuse new requests, let running ones end, then stop all threads."""
         stop_started_at = self.context.clock.monotonic()
-        self.gate.apply(ev.Stopping)
+        self.request_admission.refuse_new_requests()
         self.runtime.announce_leaving()
         drained = self._drain()
         self._linger(stop_started_at)
--- a/packages/agent/eelgrassdale_agent/requestadmission.py
+++ b/packages/agent/eelgrassdale_agent/requestadmission.py
@@ -106,6 +106,15 @@
             detail=outcome.detail,
         )
 
+    def refuse_new_requests(self) -> None:
+        """Refuse all later requests, as the agent stops.
+
+        On return, each request that was admitted has its stream and its job, so
+        that a count of these misses none.
+        """
+        with self._lock:
+            self._gate.apply(ev.Stopping)
+
     def sweep(self) -> None:
         """Drop the answers of expired keys and update the gauges."""
         for ticket in self._gate.pop_expired_tickets():
--- a/packages/core/eelgrassdale/wire/server.py
+++ b/packages/core/eelgrassdale/wire/server.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import threading
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -15,6 +16,8 @@
 
 ACCEPT_TIMEOUT_SECONDS = 0.2
 LISTEN_BACKLOG = 512
+# Callers give up a call after this time, so a longer wait answers none of them.
+STOP_SECONDS = 1.0
 
 log = structlog.get_logger(__name__)
 
@@ -35,6 +38,8 @@
     on_bytes : Callable[[int], None], optional
         Called after each call, in the thread that served it, with the bytes
         of the call and its answer.
+    stop_seconds : float
+        Time for which `stop` waits for the calls that it has to answer.
     """
 
     def __init__(
@@ -45,14 +50,16 @@
         address: str,
         max_connections: int = 512,
         on_bytes: Callable[[int], None] | None = None,
+        stop_seconds: float = STOP_SECONDS,
     ) -> None:
+        self._stop_seconds = stop_seconds
         self._processor = TProcessor(service, handler)
         self._address = parse_address(address)
         self._max_connections = max_connections
         self._on_bytes = on_bytes
         self._stopping = threading.Event()
         self._lock = threading.Lock()
-        self._connections: set[socket.socket] = set()
+        self._connections: dict[socket.socket, threading.Thread] = {}
         self._listener: socket.socket | None = None
         self._thread: threading.Thread | None = None
 
@@ -82,38 +89,62 @@
         self._thread.start()
 
     def stop(self) -> None:
-        """Close the listener and all connections."""
+        """Answer the calls that have arrived, then close all connections.
+
+        A call that is cut may have run or not, and its caller cannot tell. Only
+        those that last longer than `stop_seconds` are cut.
+        """
         self._stopping.set()
         if self._thread is not None:
             self._thread.join()
+        # What was received can still be read, and answers can still be written.
+        threads = self._shut_down_connections(socket.SHUT_RD)
+        end_at = time.monotonic() + self._stop_seconds
+        for thread in threads:
+            thread.join(max(0.0, end_at - time.monotonic()))
+        self._shut_down_connections(socket.SHUT_RDWR)
+
+    def _shut_down_connections(self, how: int) -> list[threading.Thread]:
         with self._lock:
-            connections = list(self._connections)
+            connections = dict(self._connections)
         for conn in connections:
             with contextlib.suppress(OSError):
-                conn.shutdown(socket.SHUT_RDWR)
+                conn.shutdown(how)
+        return list(connections.values())
 
     def _accept_loop(self) -> None:
         while not self._stopping.is_set():
-            try:
-                conn, _ = self._listener.accept()
-            except TimeoutError:
-                continue
-            except OSError as exc:
-                log.warning("accept failed", error=repr(exc))
-                continue
-            self._start_connection(conn)
+            self._accept_connection()
+        # Calls may have arrived on connections that the kernel has accepted already.
+        self._listener.settimeout(0.0)
+        for _ in range(LISTEN_BACKLOG):
+            if not self._accept_connection():
+                break
         self._listener.close()
 
+    def _accept_connection(self) -> bool:
+        """Accept a connection; return False if there is none."""
+        try:
+            conn, _ = self._listener.accept()
+        except (TimeoutError, BlockingIOError):
+            return False
+        except OSError as exc:
+            log.warning("accept failed", error=repr(exc))
+            return False
+        self._start_connection(conn)
+        return True
+
     def _start_connection(self, conn: socket.socket) -> None:
+        thread = threading.Thread(target=self._serve, args=(conn,), daemon=True)
         with self._lock:
             full = len(self._connections) >= self._max_connections
             if not full:
-                self._connections.add(conn)
+                self._connections[conn] = thread
         if full:
             log.warning("connection limit reached", limit=self._max_connections)
             conn.close()
             return
-        threading.Thread(target=self._serve, args=(conn,), daemon=True).start()
+        thread.start()
 
     def _serve(self, conn: socket.socket) -> None:
         conn.settimeout(None)
@@ -123,7 +154,8 @@
         transport = TCyFramedTransportFactory().get_transport(sock)
         protocol = TCyBinaryProtocolFactory().get_protocol(transport)
         try:
-            while not self._stopping.is_set():
+            # `stop` ends the loop by shutting the connection down.
+            while True:
                 self._processor.process(protocol, protocol)
                 if self._on_bytes is not None:
                     self._on_bytes(sock.pop_transferred_bytes())
@@ -134,7 +166,7 @@
                 log.error("call failed", error=repr(exc), exc_info=True)
         finally:
             with self._lock:
-                self._connections.discard(conn)
+                self._connections.pop(conn, None)
             with contextlib.suppress(OSError):
                 conn.close()
 
--- a/packages/core/eelgrassdale/wire/tests/test_wire.py
+++ b/packages/core/eelgrassdale/wire/tests/test_wire.py
@@ -1,5 +1,9 @@
 """Tests of the connection and server between nodes."""
 
+import socket
+import threading
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 
 from eelgrassdale.tests.ports import free_address
@@ -65,3 +69,93 @@
         answer = conn.call("probe", Envelope(sender="vm-2"), timeout_seconds=2)
         assert answer.name == "vm-1"
         server.stop()
+
+
+class BlockingHandler(Handler):
+    """Answers probes once `may_answer` is set."""
+
+    def __init__(self) -> None:
+        self.called = threading.Event()
+        self.may_answer = threading.Event()
+
+    def probe(self, envelope: Envelope) -> ProbeAnswer:
+        """Return a fixed answer when it may."""
+        self.called.set()
+        self.may_answer.wait(5)
+        return super().probe(envelope)
+
+
+def test_call_in_progress_is_answered_by_a_server_that_stops():
+    # Guards against an answer that is cut by a planned stop: the caller could not
+    # tell whether its request had run.
+    handler = BlockingHandler()
+    text = free_address()
+    server = NodeServer(service=NodeService, handler=handler, address=text)
+    server.start()
+    conn = NodeConnection(address=text)
+    with ThreadPoolExecutor() as pool:
+        answer = pool.submit(
+            conn.call, "probe", Envelope(sender="vm-2"), timeout_seconds=5
+        )
+        assert handler.called.wait(5)
+        stopped = pool.submit(server.stop)
+        with pytest.raises(TimeoutError):
+            stopped.result(timeout=0.5)
+        handler.may_answer.set()
+        assert answer.result().name == "vm-1"
+        stopped.result(timeout=5)
+
+
+def test_calls_that_arrived_before_the_stop_are_answered(monkeypatch):
+    # Guards against calls that a stop leaves unread, on a connection that was just
+    # accepted or on one that was not accepted yet.
+    text = free_address()
+    server = NodeServer(service=NodeService, handler=Handler(), address=text)
+    accepted, may_continue = threading.Event(), threading.Event()
+    start_connection = server._start_connection
+
+    def start_late(conn):
+        accepted.set()
+        may_continue.wait(5)
+        start_connection(conn)
+
+    monkeypatch.setattr(server, "_start_connection", start_late)
+    server.start()
+    conns = [NodeConnection(address=text) for _ in range(3)]
+    with ThreadPoolExecutor() as pool:
+        answers = [
+            pool.submit(conn.call, "probe", Envelope(sender="vm-2"), timeout_seconds=5)
+            for conn in conns
+        ]
+        assert accepted.wait(5)
+        # Time for the other calls to arrive, none of which is answered yet.
+        with pytest.raises(TimeoutError):
+            answers[-1].result(timeout=0.3)
+        stopped = pool.submit(server.stop)
+        with pytest.raises(TimeoutError):
+            stopped.result(timeout=0.3)
+        may_continue.set()
+        assert [answer.result().name for answer in answers] == 3 * ["vm-1"]
+        stopped.result(timeout=5)
+
+
+def test_stop_ends_although_a_call_does_not():
+    # Guards against a handler that hangs and keeps the process from its end.
+    handler = BlockingHandler()
+    text = free_address()
+    server = NodeServer(
+        service=NodeService, handler=handler, address=text, stop_seconds=0.2
+    )
+    server.start()
+    host, _, port = text.rpartition(":")
+    idle = socket.create_connection((host, int(port)))
+    conn = NodeConnection(address=text)
+    with ThreadPoolExecutor() as pool:
+        answer = pool.submit(
+            conn.call, "probe", Envelope(sender="vm-2"), timeout_seconds=5
+        )
+        assert handler.called.wait(5)
+        pool.submit(server.stop).result(timeout=3)
+        handler.may_answer.set()
+        assert isinstance(answer.exception(), UnknownDeliveryError)
+    idle.close()
