Read a kind again although its watch ends at the same moment

A trial of three gateways, of which the two others stand still just after they have told of a change, shows a calm gateway that learns of it 3.9 s late (3.93, 3.94, 3.95 s), where a server that drains has to be left within 2 s.

Cause: MirrorSet finds the copy stale, avoids its source and requests a refresh. The watch of the store looks at its sources at the same interval, so it often ends in the same moment. The mirror then took its result and cleared the request, and watched a gateway that stood still for up to 2.6 s. A revision is refreshed only once, so nothing repeated the request.

Fix: a request that is set when the step ends is heeded, at the cost of one listing.

Evidence: the new test fails on the code before.

--- a/packages/gateway/eelgrassdale_gateway/mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/mirror.py
@@ -106,7 +106,8 @@
             await asyncio.wait((step, refresh), return_when=asyncio.FIRST_COMPLETED)
             if step.done():
                 step.result()
-                return
+                if not self._refresh_requested.is_set():
+                    return
             log.info(
                 "copy is stale; reading the whole kind again",
                 kind=self.kind,
--- a/packages/gateway/eelgrassdale_gateway/tests/test_mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_mirror.py
@@ -168,3 +168,31 @@
     assert staleness_of(before, outage, after, follows_gateway=True) == 0.0
     change = changes(2, (item("a", 2, revision=2), False))
     assert staleness_of(before, change, follows_gateway=True) == 0.0
+
+
+def test_refresh_requested_as_a_watch_ends_is_not_lost():
+    # Guards against a gateway that goes on to watch a gateway that stands still,
+    # although its copy was found stale and the store has a newer one.
+    class RefreshingSource(ScriptedSource):
+        async def watch(self, kind, *, revision, wait_seconds):
+            result = await super().watch(
+                kind, revision=revision, wait_seconds=wait_seconds
+            )
+            mirror.refresh()
+            return result
+
+    async def run():
+        async with asyncio.timeout(5):
+            task = asyncio.ensure_future(mirror.run())
+            while len(source.calls) < 3:
+                await asyncio.sleep(0)
+            task.cancel()
+
+    source = RefreshingSource(
+        listing(5, item("a", 1)), changes(5), listing(6, item("a", 2))
+    )
+    mirror = Mirror(
+        kind="k", source=source, clock=SystemClock(), on_change=lambda objects: None
+    )
+    asyncio.run(run())
+    assert source.calls == ["list", "watch 5", "list"]
