List the store last while it is avoided as stale

If no gateway answers meanwhile, nothing was read for that long, although only the watch was late and a listing would have been current.

Fix: such a store is listed after all gateways have failed, and a listing from it ends the cooldown. A store that failed keeps its own cooldown, and a follower that had not read from the store still waits before it does, so the number of calls stays bounded.

--- a/packages/gateway/eelgrassdale_gateway/sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/sharedsource.py
@@ -146,6 +146,8 @@
         self._client = ObjectClient()
         self._cooldown_until: dict[Address | None, float] = {}
         self._gateways_failed_at: float | None = None
+        # Whether the store is in cooldown because a copy from it was stale.
+        self._is_store_stale = False
         # Source of the current copy of each kind; None is the store.
         self._sources: dict[str, Address | None] = {}
 
@@ -156,12 +158,14 @@
     def avoid_current_source(self, kind: str) -> None:
         """Avoid the current source of a kind for a while, as its copy is stale."""
         if kind in self._sources:
-            self._start_cooldown(self._sources[kind], STALE_SOURCE_COOLDOWN_SECONDS)
+            source = self._sources[kind]
+            self._start_cooldown(source, STALE_SOURCE_COOLDOWN_SECONDS)
+            self._is_store_stale |= source is None
 
     async def list(self, kind: str) -> Listing:
         """Return all objects of a kind; raises `StoreUnavailable`."""
         store_failed = False
-        for address in self._available_sources():
+        for address in self._sources_to_list():
             try:
                 listing = await self._list_from(kind, address)
             except StoreUnavailable as exc:
@@ -169,6 +173,9 @@
                 self._record_failure(kind, address, exc)
                 continue
             self._record_success(kind, address)
+            if address is None:
+                self._cooldown_until.pop(None, None)
+                self._is_store_stale = False
             return listing
         raise StoreUnavailable(
             "no source of objects is available", is_store_failure=store_failed
@@ -245,6 +252,16 @@
             and (address is not None or rank == 0 or self._may_fall_back_to_store(now))
         ]
 
+    def _sources_to_list(self) -> Sequence[Address | None]:
+        """Return the sources that may list a kind, most preferred first.
+
+        A watch of the store may be late where its listing is not. So a store that
+        is only avoided as stale comes last, for the case that no gateway answers.
+        """
+        sources = self._available_sources()
+        is_avoided = self._cooldown_until.get(None, 0.0) > self._clock.monotonic()
+        return [*sources, None] if self._is_store_stale and is_avoided else sources
+
     def _may_fall_back_to_store(self, now: float) -> bool:
         """Return whether a follower may read from the store."""
         failed_at = self._gateways_failed_at
@@ -265,6 +282,7 @@
         log.debug("reading objects from a source failed", kind=kind, reason=str(exc))
         if address is None:
             self._start_cooldown(None, STORE_COOLDOWN_SECONDS)
+            self._is_store_stale = False
             return
         self._start_cooldown(address, GATEWAY_COOLDOWN_SECONDS)
         if self._gateways_failed_at is None:
--- a/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+import pytest
 from attrs import define, field
 
-from eelgrassdale.clock import SystemClock
+from eelgrassdale.clock import ManualClock, SystemClock
 from eelgrassdale.http1 import HttpServer
+from eelgrassdale.tests.ports import free_address
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.mirrorset import MirrorSet
 from eelgrassdale_gateway.objecthttp import ObjectServer
@@ -259,3 +261,53 @@
     kept, lost = run_scenario(scenario)
     assert all(value in (1, 2) for value in kept)
     assert lost == [None] * 5
+
+
+def run_with_silent_peer(scenario):
+    """Run a scenario with a watcher of the store whose only peer refuses connections.
+
+    Its clock stands still, so that no cooldown ends.
+    """
+    port = int(free_address().rpartition(":")[2])
+    store = FakeStore()
+    source = SharedSource(
+        store=NodeStore(store=store, name="n-1"),
+        topology=lambda: topology("n-1", gateway("n-2", port=port)),
+        known_revision=lambda kind: 0,
+        clock=ManualClock(),
+    )
+
+    async def run():
+        async with asyncio.timeout(20):
+            return await scenario(store, source)
+
+    return asyncio.run(run())
+
+
+def test_store_with_a_stale_watch_is_listed_when_no_gateway_answers():
+    # Guards against a gateway that gets no changes for the whole cooldown of the
+    # store, and so sends requests to a server that drains for longer than it may.
+    async def scenario(store, source):
+        await source.list(KIND)
+        source.avoid_current_source(KIND)
+        store.write(2)
+        listing = await source.list(KIND)
+        store.write(3)
+        changes = await source.watch(KIND, revision=listing.revision, wait_seconds=5)
+        return listing.objects[0].spec, changes.changes[0].object.spec
+
+    assert run_with_silent_peer(scenario) == (2, 3)
+
+
+def test_store_that_fails_is_not_asked_again_as_a_stale_one():
+    # Guards against calls without a cooldown, which have a price, during an outage.
+    async def scenario(store, source):
+        await source.list(KIND)
+        source.avoid_current_source(KIND)
+        store.refused_nodes.add("n-1")
+        for _ in range(3):
+            with pytest.raises(StoreUnavailable):
+                await source.list(KIND)
+        return store.calls["n-1"]
+
+    assert run_with_silent_peer(scenario) == 2
