End an attempt only for one whose next event is valid

Cause: the attempt that continues a stream claimed it before its event or its end was checked, and a first response that failed ended its continuation. Both attempts shared what belongs to one of them.

Change: an attempt claims the stream with an event that is the next one, or with an end that is marked as such. A response that fails waits for its continuation. What has arrived is read before the next wait. An error of a second attempt is logged and leaves the first one alone. Each attempt has its own progress, a server is tried once for a stream, and a retry that was not sent is given back. All continuations end with their request, and a place found by a cancelled search is always released.

--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -17,7 +17,7 @@
 )
 from eelgrassdale.http1.messages import end_to_end_headers
 from eelgrassdale_gateway.advisories import Advisory, read_advisory
-from eelgrassdale_gateway.calls import Call
+from eelgrassdale_gateway.calls import AttemptProgress, Call
 from eelgrassdale_gateway.headernames import HeaderNames
 from eelgrassdale_gateway.model import BackendServer
 from eelgrassdale_gateway.outcomes import (
@@ -52,13 +52,16 @@
 
     `on_head` is called for the head of a response that is not a refusal,
     `on_first_event` for the first event of a stream that is new to the caller,
-    `on_advisory` for each head that the intended backend server sent.
+    `on_advisory` for each head that the intended backend server sent. `progress` is
+    updated as the response proceeds. `claim_from_predecessor` is that of `StallWatch`.
     """
 
     on_advisory: Callable[[Advisory], None]
     on_head: Callable[[], None]
     on_first_event: Callable[[], None]
     alternatives: Alternatives
+    progress: AttemptProgress
+    claim_from_predecessor: Callable[[], None] | None = None
 
 
 class AttemptRunner:
@@ -111,23 +114,21 @@
             ),
             alternatives=observer.alternatives,
             has_begun=lambda: call.exchange.is_started,
+            claim_from_predecessor=observer.claim_from_predecessor,
         )
         try:
             call.send_count += 1
-            outcome, is_reusable = await self._send_and_receive(
+            outcome, is_reusable = await self._exchange(
                 call, server, conn, observer, watch, latest_start
             )
-        except ExchangeFailed as exc:
-            outcome = Lost(reason=str(exc))
-        except MemoryExhausted as exc:
-            outcome = Withdrawn(reason=f"memory for responses: {exc}")
-        except TimeoutError:
-            call.next_place = watch.place
-            outcome = Lost(reason="no progress within the time limit")
+            if not isinstance(outcome, Relayed):
+                await watch.wait_for_continuation()
         except ResponseSuperseded:
+            continuation = watch.take_continuation()
+            call.continuations.append(continuation)
             outcome = Superseded(
                 reason="no progress; continued at another backend server",
-                continuation=watch.take_continuation(),
+                continuation=continuation,
             )
         finally:
             if is_reusable:
@@ -139,6 +140,28 @@
             outcome = evolve(outcome, is_disconnected=conn.is_disconnected)
         return outcome
 
+    async def _exchange(
+        self,
+        call: Call,
+        server: BackendServer,
+        conn: ClientConnection,
+        observer: AttemptObserver,
+        watch: StallWatch,
+        latest_start: float,
+    ) -> tuple[Outcome, bool]:
+        """Do as `_send_and_receive`, with an outcome for each failure."""
+        try:
+            return await self._send_and_receive(
+                call, server, conn, observer, watch, latest_start
+            )
+        except ExchangeFailed as exc:
+            return Lost(reason=str(exc)), False
+        except MemoryExhausted as exc:
+            return Withdrawn(reason=f"memory for responses: {exc}"), False
+        except TimeoutError:
+            call.next_place, watch.place = watch.place, None
+            return Lost(reason="no progress within the time limit"), False
+
     async def _send_and_receive(
         self,
         call: Call,
@@ -170,7 +193,7 @@
             call.may_have_run = may_have_run_before
             refusal = NotRun(reason=f"refused with status {head.status}", was_sent=True)
             return refusal, await skip_body(conn)
-        call.attempt.has_head = True
+        observer.progress.has_head = True
         watch.timer.record_progress()
         observer.on_head()
         if call.admitted.route.is_stream and head.status == 200:
@@ -181,6 +204,7 @@
                 conn,
                 head,
                 watch=watch,
+                progress=observer.progress,
                 clock=self._clock,
                 on_first_event=observer.on_first_event,
             )
--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -1,10 +1,13 @@
 """State of one caller's request while the gateway handles it."""
 
+import asyncio
+
 from attrs import define, field
 
 from eelgrassdale.http1 import Exchange, Reservation
 from eelgrassdale_gateway.admission import AdmittedRequest
 from eelgrassdale_gateway.model import EngineProfile
+from eelgrassdale_gateway.outcomes import Outcome
 from eelgrassdale_gateway.queueing import Waiter
 from eelgrassdale_gateway.stalls import Place
 
@@ -27,7 +30,8 @@
     events already relayed to the caller; `lacks_event` is true if the stream is known
     to have a further one. `response_memory` counts the bytes of a response that are
     held whole. `attempt` describes the response to the newest attempt. `next_place` is
-    a place that was found for the next one. `retry_at` is when a refused caller may
+    a place that was found for the next one, `continuations` are attempts that continue
+    the stream of an earlier one. `retry_at` is when a refused caller may
     come back, if that is known.
     """
 
@@ -44,6 +48,7 @@
     lacks_event: bool = False
     tried_servers: frozenset[str] = frozenset()
     next_place: Place | None = None
+    continuations: "list[asyncio.Task[Outcome]]" = field(factory=list)
     retry_at: float | None = None
 
     @property
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -29,16 +29,18 @@
 from eelgrassdale_gateway.responses import response_headers
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.retryplaces import RetryPlaces
-from eelgrassdale_gateway.retryrules import result_code, retry_refusal_reason
+from eelgrassdale_gateway.retryrules import (
+    NOT_RUN_STATUSES,
+    is_retryable_response,
+    result_code,
+    retry_refusal_reason,
+)
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.serverends import ServerEndDetector
 from eelgrassdale_gateway.stalls import Alternatives, Place
 from eelgrassdale_gateway.stopschedule import StopSchedule
 from eelgrassdale_gateway.telemetry import RequestTelemetry
 
-# Statuses by which a caller concludes that its request did not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
 
 class Forwarder:
     """Handles the requests of a gateway's callers."""
@@ -122,6 +124,8 @@
             call.response_memory.release()
             if (place := call.take_next_place()) is not None:
                 self._retry_places.release(call, place)
+            for continuation in call.continuations:
+                continuation.cancel()
 
     def _admits(self, admitted: AdmittedRequest) -> bool:
         """Return whether a request can still end before this gateway stops."""
@@ -157,7 +161,7 @@
                 return
             if isinstance(outcome, Answered):
                 response = outcome
-                if not self._is_retryable_response(call, outcome):
+                if not is_retryable_response(call, outcome):
                     await self._send_response(call, outcome)
                     return
             if not self._may_retry(call, outcome):
@@ -168,7 +172,7 @@
         self,
         call: Call,
         place: Place | None,
-        on_claim: Callable[[], None] | None = None,
+        claim_from_predecessor: Callable[[], None] | None = None,
     ) -> Outcome:
         waiter = self._retry_places.make_waiter(call)
         placement, in_flight = place or await self._dispatcher.place(waiter)
@@ -191,19 +195,18 @@
                 call,
                 server,
                 AttemptObserver(
-                    on_advisory=lambda advisory: self._on_advisory(
-                        call, server, advisory, sent_at=now
-                    ),
-                    on_head=lambda: self._on_response_start(call, in_flight),
-                    on_first_event=lambda: self._quarantine.record_start(
-                        admitted.quarantine_parts
+                    on_advisory=partial(self._on_advisory, call, server, now),
+                    on_head=partial(self._on_response_start, call, in_flight),
+                    on_first_event=partial(
+                        self._quarantine.record_start, admitted.quarantine_parts
                     ),
                     alternatives=Alternatives(
                         seek_place=partial(self._retry_places.seek, call),
                         release_place=partial(self._retry_places.release, call),
                         continue_at=partial(self._continue_at, call),
-                        on_claim=on_claim,
                     ),
+                    progress=progress,
+                    claim_from_predecessor=claim_from_predecessor,
                 ),
                 latest_start=self._dispatcher.latest_start(server, admitted.model),
             )
@@ -228,7 +231,10 @@
             on_claim()
 
         try:
-            return await self._run_attempt(call, place, claim)
+            outcome = await self._run_attempt(call, place, claim)
+            if isinstance(outcome, NotRun) and not outcome.was_sent:
+                self._retry_places.give_back_retry(call)
+            return outcome
         except asyncio.CancelledError:
             self._telemetry.record_cancelled_continuation(
                 request_id=call.admitted.request_id,
@@ -244,9 +250,8 @@
         self,
         call: Call,
         server: BackendServer,
-        advisory: Advisory,
-        *,
         sent_at: float,
+        advisory: Advisory,
     ) -> None:
         news = self._dispatcher.advisories.record(
             server.incarnation, advisory, sent_at=sent_at, now=self._clock.monotonic()
@@ -282,9 +287,6 @@
             is_failure=is_failure,
         )
 
-    def _is_retryable_response(self, call: Call, response: Answered) -> bool:
-        return response.head.status >= 500 and call.is_idempotent
-
     def _may_retry(self, call: Call, outcome: Outcome) -> bool:
         if isinstance(outcome, NotRun) and not outcome.was_sent:
             return True
--- a/packages/gateway/eelgrassdale_gateway/responses.py
+++ b/packages/gateway/eelgrassdale_gateway/responses.py
@@ -15,7 +15,7 @@
     ResponseHead,
 )
 from eelgrassdale.http1.messages import end_to_end_headers
-from eelgrassdale_gateway.calls import Call
+from eelgrassdale_gateway.calls import AttemptProgress, Call
 from eelgrassdale_gateway.eventstream import (
     EventSplitter,
     InvalidEventStream,
@@ -88,6 +88,7 @@
     head: ResponseHead,
     *,
     watch: StallWatch,
+    progress: AttemptProgress,
     clock: Clock,
     on_first_event: Callable[[], None],
 ) -> tuple[Outcome, bool]:
@@ -98,25 +99,32 @@
     """
     splitter = EventSplitter()
     memory = call.response_memory.budget.reservation()
+    has_event = False
     try:
         while (data := await watch.read(conn.chunk)) is not None:
-            event_count = call.attempt.event_count
+            event_count = call.event_count
             await _relay_data(
                 call, head, splitter, data, watch=watch, memory=memory, clock=clock
             )
-            if call.attempt.event_count > event_count:
+            if call.event_count > event_count:
+                progress.event_count += call.event_count - event_count
                 watch.timer.record_progress()
-                if event_count == 0:
+                if not has_event:
+                    has_event = True
                     on_first_event()
+        if splitter.has_partial_event():
+            return Lost(reason="stream ended within an event"), False
+        if conn.is_disconnected and watch.is_contested():
+            # Without a length, the end of a failed server's connection looks like this.
+            return Lost(reason="stream ended without an event"), False
         await watch.claim()
     except InvalidEventStream as exc:
         return Lost(reason=str(exc)), False
     finally:
         memory.release()
-        # Part of an event shows that there is one more.
-        call.lacks_event = call.lacks_event or splitter.has_partial_event()
-    if splitter.has_partial_event():
-        return Lost(reason="stream ended within an event"), False
+        if splitter.has_partial_event() and not watch.is_continuation():
+            # Part of an event shows that there is one more.
+            call.lacks_event = True
     if call.lacks_event or not call.event_count:
         # Without a length, the end of a failed server's connection looks like this.
         return Lost(reason="stream ended without an event"), False
@@ -142,7 +150,9 @@
             await asyncio.sleep(0)
         events = splitter.feed(data[start : start + FEED_BYTES])
         memory.resize(max(0, splitter.buffered_bytes - FREE_EVENT_BYTES))
-        if any(_is_new(call, event) for event in events):
+        new_event = next((event for event in events if _is_new(call, event)), None)
+        if new_event is not None:
+            _require_no_gap(call, new_event)
             await watch.claim()
         elif watch.is_contested():
             # Comments are no progress.
@@ -150,6 +160,15 @@
         await _relay_events(call, head, events, now=clock.monotonic())
 
 
+def _require_no_gap(call: Call, event: StreamEvent) -> None:
+    """Raise `InvalidEventStream` if an event is not the next one for the caller."""
+    last_event_id = call.last_event_id
+    if event.number is None or last_event_id is None:
+        return
+    if event.number != last_event_id + 1:
+        raise InvalidEventStream("gap in the event ids")
+
+
 def _is_new(call: Call, event: StreamEvent) -> bool:
     """Return whether the caller lacks an event; comments are none."""
     if event.number is None:
@@ -191,7 +210,6 @@
     if event_count:
         call.lacks_event = False
         call.event_count += event_count
-        call.attempt.event_count += event_count
         call.last_event_at = now
     await _start_response(call, head)
     await call.exchange.write(b"".join(event.data for event in events))
--- a/packages/gateway/eelgrassdale_gateway/retryplaces.py
+++ b/packages/gateway/eelgrassdale_gateway/retryplaces.py
@@ -37,15 +37,24 @@
         is_found = False
         try:
             place = await self._dispatcher.place(self.make_waiter(call))
-            is_found = True
-            return place
         except PlacementRefused:
             return None
+        else:
+            # If no other server is usable, the dispatcher returns one that was tried.
+            is_found = place[0].server.id not in call.tried_servers
+            if is_found:
+                return place
+            self._dispatcher.record_end(place[1])
+            return None
         finally:
             if not is_found:
                 self._retry_budgets.give_back(service)
 
+    def give_back_retry(self, call: Call) -> None:
+        """Give back a retry that was not sent."""
+        self._retry_budgets.give_back(call.admitted.service)
+
     def release(self, call: Call, place: Place) -> None:
         """Give back what `seek` took."""
         self._dispatcher.record_end(place[1])
-        self._retry_budgets.give_back(call.admitted.service)
+        self.give_back_retry(call)
--- a/packages/gateway/eelgrassdale_gateway/retryrules.py
+++ b/packages/gateway/eelgrassdale_gateway/retryrules.py
@@ -14,6 +14,8 @@
 
 # Sends of one request after which further refusals are not retried.
 MAX_SENDS = 4
+# Statuses by which a caller concludes that its request did not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 def retry_refusal_reason(call: Call, outcome: Outcome) -> str:
@@ -29,6 +31,11 @@
     return ""
 
 
+def is_retryable_response(call: Call, response: Answered) -> bool:
+    """Return whether another attempt may follow a complete response."""
+    return response.head.status >= 500 and call.is_idempotent
+
+
 def lost_its_server(outcome: Outcome) -> bool:
     """Return whether the backend server closed the connection, and may have ended.
 
--- a/packages/gateway/eelgrassdale_gateway/stalls.py
+++ b/packages/gateway/eelgrassdale_gateway/stalls.py
@@ -4,6 +4,10 @@
 given up only once another server has continued it: until then both are awaited, and
 the first one to send a further event is relayed. Without another place, or a retry, the
 response is awaited further: to cut it would serve nobody.
+
+A continuation may stall as well and be continued itself. The attempt that relays an
+event claims the stream: it ends its own continuation, and, through the attempt that it
+continues, all that began before it.
 """
 
 import asyncio
@@ -11,11 +15,12 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
+import structlog
 from attrs import frozen
 
-from eelgrassdale.http1 import ClientConnection, ExchangeFailed
+from eelgrassdale.http1 import ClientConnection
 from eelgrassdale_gateway.loads import InFlightRequest
-from eelgrassdale_gateway.outcomes import Outcome
+from eelgrassdale_gateway.outcomes import NotRun, Outcome
 from eelgrassdale_gateway.placement import Placement
 from eelgrassdale_gateway.progress import ProgressTimer
 
@@ -24,6 +29,8 @@
 # Time to read what has arrived of a head that is not complete.
 PARTIAL_READ_SECONDS = 0.05
 
+log = structlog.get_logger(__name__)
+
 T = TypeVar("T")
 Place = tuple[Placement, InFlightRequest]
 
@@ -39,20 +46,18 @@
     `seek_place` waits for a place at another server, and returns None if it is refused;
     cancelling it gives back what it took. `release_place` gives back a place that is
     not needed. `continue_at` runs an attempt at a place; it calls its second argument
-    before it relays a further event. `on_claim` is that function for this attempt, or
-    None if it continues no other one.
+    before it relays a further event.
     """
 
     seek_place: Callable[[], Awaitable[Place | None]]
     release_place: Callable[[Place], None]
     continue_at: Callable[[Place, Callable[[], None]], Awaitable[Outcome]]
-    on_claim: Callable[[], None] | None = None
 
 
 class StallWatch:
     """Reads one response, and turns to another server while it makes no progress.
 
-    `place` is another place that was found and not used yet.
+    `place` is another place that was found and is not used yet.
 
     Parameters
     ----------
@@ -64,6 +69,8 @@
         How to find and use another server.
     has_begun : callable
         Returns whether the caller has got the beginning of the response.
+    claim_from_predecessor : callable, optional
+        Ends the attempt that this one continues; None if it continues none.
     """
 
     def __init__(
@@ -73,13 +80,14 @@
         timer: ProgressTimer,
         alternatives: Alternatives,
         has_begun: Callable[[], bool],
+        claim_from_predecessor: Callable[[], None] | None = None,
     ) -> None:
         self.timer = timer
         self.place: Place | None = None
         self._conn = conn
         self._alternatives = alternatives
         self._has_begun = has_begun
-        self._is_claimed = alternatives.on_claim is None
+        self._claim_from_predecessor = claim_from_predecessor
         self._seeking: asyncio.Task[Place | None] | None = None
         self._continuation: asyncio.Task[Outcome] | None = None
         self._superseded: asyncio.Future[None] = (
@@ -104,14 +112,19 @@
                 await self.stop()
                 with contextlib.suppress(TimeoutError):
                     return await read(timeout)
-            await self._wait_for_news()
             if self._seeking is not None or self._continuation is not None:
+                # The connection may hold more than it returned before.
                 with contextlib.suppress(TimeoutError):
-                    return await self._read_arrived(read)
+                    return await read(PARTIAL_READ_SECONDS)
+            await self._wait_for_news()
+
+    def is_continuation(self) -> bool:
+        """Return whether the attempt before this one is still awaited."""
+        return self._claim_from_predecessor is not None
 
     def is_contested(self) -> bool:
         """Return whether another attempt may still relay the next event."""
-        return self._continuation is not None or not self._is_claimed
+        return self._continuation is not None or self.is_continuation()
 
     async def claim(self) -> None:
         """Make this response the one that is relayed; ends its continuation.
@@ -123,7 +136,22 @@
         """
         self._require_current()
         await self._stop_continuation()
-        self._claim_from_predecessor()
+        self._end_predecessor()
+
+    async def wait_for_continuation(self) -> None:
+        """Wait until the continuation, if there is one, has failed.
+
+        Raises
+        ------
+        ResponseSuperseded
+            If it has continued the response.
+        """
+        if self._continuation is not None:
+            await asyncio.wait(
+                (self._continuation, self._superseded),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        self._require_current()
 
     def take_continuation(self) -> "asyncio.Task[Outcome]":
         """Return the attempt that has continued the response; `stop` leaves it then."""
@@ -154,7 +182,7 @@
 
     def _end_search(self, seeking: "asyncio.Task[Place | None]") -> None:
         self._seeking = None
-        self.place = seeking.result()
+        self.place = _result_of(seeking)
         if not self._has_begun():
             raise TimeoutError
         if self.place is None:
@@ -165,45 +193,24 @@
     def _end_continuation(self, continuation: "asyncio.Task[Outcome]") -> None:
         """Wait for the response itself again, as the continuation has failed."""
         self._continuation = None
-        continuation.result()
-        self.timer.extend(SEEK_INTERVAL_SECONDS)
+        if not isinstance(_result_of(continuation), NotRun):
+            self.timer.extend(SEEK_INTERVAL_SECONDS)
 
     async def _continue(self) -> Outcome:
         place, self.place = self.place, None
         return await self._alternatives.continue_at(place, self._supersede)
 
-    async def _read_arrived(self, read: Callable[[float | None], Awaitable[T]]) -> T:
-        """Read what has arrived; the continuation may outlive the connection."""
-        try:
-            result = await read(PARTIAL_READ_SECONDS)
-        except ExchangeFailed:
-            await self._wait_for_continuation()
-            raise
-        if self._conn.is_disconnected:
-            # Without a length, the end of a failed server's connection looks complete.
-            await self._wait_for_continuation()
-        return result
-
-    async def _wait_for_continuation(self) -> None:
-        """Wait until the continuation is relayed, which raises, or has failed."""
-        if self._continuation is not None:
-            await asyncio.wait(
-                (self._continuation, self._superseded),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-        self._require_current()
-
     def _supersede(self) -> None:
         if self._superseded.done():
             return
         self._superseded.set_result(None)
         self._conn.close()
-        self._claim_from_predecessor()
+        self._end_predecessor()
 
-    def _claim_from_predecessor(self) -> None:
-        if not self._is_claimed:
-            self._is_claimed = True
-            self._alternatives.on_claim()
+    def _end_predecessor(self) -> None:
+        claim, self._claim_from_predecessor = self._claim_from_predecessor, None
+        if claim is not None:
+            claim()
 
     def _require_current(self) -> None:
         if self._superseded.done():
@@ -213,20 +220,39 @@
         seeking, self._seeking = self._seeking, None
         if seeking is None:
             return
+        seeking.add_done_callback(self._release_found)
         seeking.cancel()
         await asyncio.wait((seeking,))
-        if not seeking.cancelled() and (place := seeking.result()) is not None:
-            self._alternatives.release_place(place)
 
     async def _stop_continuation(self) -> None:
         continuation, self._continuation = self._continuation, None
         if continuation is None:
             return
+        continuation.add_done_callback(self._end_stopped)
         continuation.cancel()
         await asyncio.wait((continuation,))
+
+    def _release_found(self, seeking: "asyncio.Task[Place | None]") -> None:
+        place = _result_of(seeking)
+        if place is not None:
+            self._alternatives.release_place(place)
+
+    def _end_stopped(self, continuation: "asyncio.Task[Outcome]") -> None:
+        _result_of(continuation)
         if self.place is not None:
             # It was cancelled before it began.
             place, self.place = self.place, None
             self._alternatives.release_place(place)
-        if not continuation.cancelled():
-            continuation.result()
+
+
+def _result_of(task: "asyncio.Task[T]") -> T | None:
+    """Return the result of a task, or None if it was cancelled or failed.
+
+    An error of a second attempt must not end the first one, so it is only logged.
+    """
+    if task.cancelled():
+        return None
+    if (exc := task.exception()) is not None:
+        log.error("continuation failed", exc_info=exc)
+        return None
+    return task.result()
