--- a/packages/gateway/eelgrassdale_gateway/tests/test_handover_claims.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_handover_claims.py
@@ -21,6 +21,7 @@
     is_resumed,
     pausing_until_resumed,
     refuse,
+    run_stream,
 )
 
 
@@ -47,15 +48,7 @@
 def test_invalid_continuation_does_not_end_the_first_response(respond):
     """Guards against a claim by an attempt whose response is not valid."""
 
-    async def scenario(harness):
-        backends = [
-            ScriptedBackend(reply=pausing_until_resumed(respond)) for _ in range(2)
-        ]
-        await harness.start("engine", *backends)
-        _, body = await harness.send_request("/stream/", seconds=6.0)
-        return body
-
-    assert run_scenario(scenario) == WHOLE
+    assert run_stream(pausing_until_resumed(respond)) == (200, WHOLE)
 
 
 def test_partial_comment_of_continuation_does_not_cut_a_complete_stream():
@@ -70,13 +63,7 @@
         await asyncio.sleep(PAUSE_SECONDS)
         writer.write(chunk(b""))
 
-    async def scenario(harness):
-        backends = [ScriptedBackend(reply=reply) for _ in range(2)]
-        await harness.start("engine", *backends)
-        _, body = await harness.send_request("/stream/", seconds=6.0)
-        return body
-
-    assert run_scenario(scenario) == event(1)
+    assert run_stream(reply) == (200, event(1))
 
 
 @pytest.mark.parametrize(
@@ -99,13 +86,7 @@
         await writer.drain()
         await asyncio.sleep(20.0)
 
-    async def scenario(harness):
-        backends = [ScriptedBackend(reply=reply) for _ in range(2)]
-        await harness.start("engine", *backends)
-        _, body = await harness.send_request("/stream/", seconds=6.0)
-        return body
-
-    assert run_scenario(scenario) == WHOLE
+    assert run_stream(reply) == (200, WHOLE)
 
 
 def test_refused_continuation_is_tried_elsewhere_at_once():
@@ -121,13 +102,7 @@
         resumptions.append(time.monotonic())
         (refuse if len(resumptions) == 1 else continue_stream)(req, writer)
 
-    async def scenario(harness):
-        backends = [ScriptedBackend(reply=reply) for _ in range(3)]
-        await harness.start("engine", *backends)
-        _, body = await harness.send_request("/stream/", seconds=6.0)
-        return body
-
-    assert run_scenario(scenario) == WHOLE
+    assert run_stream(reply, server_count=3) == (200, WHOLE)
     assert resumptions[1] - resumptions[0] < 0.3
 
 
@@ -162,12 +137,7 @@
         await asyncio.sleep(PAUSE_SECONDS)
         writer.write(stream_head(req) + chunk(event(1)) + chunk(b""))
 
-    async def scenario(harness):
-        await harness.start("engine", ScriptedBackend(reply=reply))
-        head, _ = await harness.send_request("/stream/", seconds=6.0)
-        return head.status
-
-    assert run_scenario(scenario) == 200
+    assert run_stream(reply, server_count=1)[0] == 200
 
 
 def test_late_first_response_is_not_given_up_for_a_server_that_refuses():
@@ -182,13 +152,7 @@
         await asyncio.sleep(PAUSE_SECONDS)
         writer.write(stream_head(req) + chunk(event(1)) + chunk(b""))
 
-    async def scenario(harness):
-        backends = [ScriptedBackend(reply=reply) for _ in range(2)]
-        await harness.start("engine", *backends)
-        head, _ = await harness.send_request("/stream/", seconds=6.0)
-        return head.status
-
-    assert run_scenario(scenario) == 200
+    assert run_stream(reply)[0] == 200
 
 
 def test_caller_that_leaves_ends_each_attempt_that_continues_its_stream():
@@ -258,10 +222,4 @@
         await asyncio.sleep(PAUSE_SECONDS)
         writer.write(chunk(b": end\n\n") + chunk(b""))
 
-    async def scenario(harness):
-        backends = [ScriptedBackend(reply=reply) for _ in range(2)]
-        await harness.start("engine", *backends)
-        _, body = await harness.send_request("/stream/", seconds=6.0)
-        return body
-
-    assert run_scenario(scenario).startswith(event(1))
+    assert run_stream(reply)[1].startswith(event(1))
--- a/packages/gateway/eelgrassdale_gateway/tests/test_handovers.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_handovers.py
@@ -71,20 +71,24 @@
     return reply
 
 
-@pytest.mark.parametrize(
-    "respond", [refuse, close, break_off_within_event, fail, answer_nothing]
-)
-def test_stream_goes_on_where_the_server_that_was_to_continue_it_does_not(respond):
-    """Guards against an answer that is cut although its first server goes on."""
-    reply = pausing_until_resumed(respond)
+def run_stream(reply, *, server_count=2):
+    """Return status and body of a stream at servers with the same replies."""
 
     async def scenario(harness):
-        backends = [ScriptedBackend(reply=reply) for _ in range(2)]
+        backends = [ScriptedBackend(reply=reply) for _ in range(server_count)]
         await harness.start("engine", *backends)
         head, body = await harness.send_request("/stream/", seconds=6.0)
         return head.status, body
 
-    assert run_scenario(scenario) == (200, WHOLE)
+    return run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "respond", [refuse, close, break_off_within_event, fail, answer_nothing]
+)
+def test_stream_goes_on_where_the_server_that_was_to_continue_it_does_not(respond):
+    """Guards against an answer that is cut although its first server goes on."""
+    assert run_stream(pausing_until_resumed(respond)) == (200, WHOLE)
 
 
 def test_silent_server_is_left_once_another_one_continues():
@@ -144,13 +148,7 @@
         await asyncio.sleep(SILENCE_SECONDS + 0.2)
         writer.close()
 
-    async def scenario(harness):
-        backends = [ScriptedBackend(reply=reply) for _ in range(2)]
-        await harness.start("engine", *backends)
-        _, body = await harness.send_request("/stream/", seconds=6.0)
-        return body
-
-    assert run_scenario(scenario) == WHOLE
+    assert run_stream(reply) == (200, WHOLE)
 
 
 def test_stream_moves_on_from_a_second_silent_server():
