Keep what is known of a partial event with the attempt that has it

A stream that was complete was cut (LOST) where its first server had stopped within an event; a stream passed for complete (ORDER) where the second server ended it at once; a late head or a 500 ended the attempt that would have gone on.

Cause: whether a stream lacks an event was written when an attempt ended, also when another one had relayed that event since, and not before. Any progress ended a continuation, not only an event.

Change: the attempt that relays keeps the mark up to date, and one that is superseded never writes it. Only a claim ends a continuation. A failed attempt closes its connection before it waits for its continuation. A continuation that was not sent costs neither a run nor a retry, a search for one uses no server that was tried, so it counts no request that is not sent, and a response that has ended is not cut by the time limit.

--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -53,7 +53,7 @@
     `on_head` is called for the head of a response that is not a refusal,
     `on_first_event` for the first event of a stream that is new to the caller,
     `on_advisory` for each head that the intended backend server sent. `progress` is
-    updated as the response proceeds. `claim_from_predecessor` is that of `StallWatch`.
+    updated as the response proceeds. `supersede_predecessor` is that of `StallWatch`.
     """
 
     on_advisory: Callable[[Advisory], None]
@@ -61,7 +61,7 @@
     on_first_event: Callable[[], None]
     alternatives: Alternatives
     progress: AttemptProgress
-    claim_from_predecessor: Callable[[], None] | None = None
+    supersede_predecessor: Callable[[], None] | None = None
 
 
 class AttemptRunner:
@@ -114,7 +114,7 @@
             ),
             alternatives=observer.alternatives,
             has_begun=lambda: call.exchange.is_started,
-            claim_from_predecessor=observer.claim_from_predecessor,
+            supersede_predecessor=observer.supersede_predecessor,
         )
         try:
             call.send_count += 1
@@ -122,6 +122,8 @@
                 call, server, conn, observer, watch, latest_start
             )
             if not isinstance(outcome, Relayed):
+                if not is_reusable:
+                    conn.close()
                 await watch.wait_for_continuation()
         except ResponseSuperseded:
             continuation = watch.take_continuation()
--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -29,7 +29,8 @@
     servers of all attempts. `event_count` and `last_event_id` describe the stream
     events already relayed to the caller; `lacks_event` is true if the stream is known
     to have a further one. `response_memory` counts the bytes of a response that are
-    held whole. `attempt` describes the response to the newest attempt. `next_place` is
+    held whole. `attempt` describes the response to the newest attempt, or to the one
+    before if that one ended without relaying an event. `next_place` is
     a place that was found for the next one, `continuations` are attempts that continue
     the stream of an earlier one. `retry_at` is when a refused caller may
     come back, if that is known.
@@ -62,9 +63,13 @@
         return place
 
 
-def make_waiter(call: Call, engine: EngineProfile | None) -> Waiter:
+def make_waiter(
+    call: Call, engine: EngineProfile | None, *, is_continuation: bool = False
+) -> Waiter:
     """Return the queue entry for the first attempt or for a retry.
 
+    A continuation runs beside an earlier attempt, so it needs another server.
+
     A stream that has begun must continue within its longest allowed pause. The
     next engine reads the tokens generated so far in addition to the prompt.
     """
@@ -86,6 +91,7 @@
         regions=regions or frozenset(),
         prompt_parts=admitted.quarantine_parts,
         excluded=call.tried_servers,
+        is_exclusion_strict=is_continuation,
         arrived_at=waiting_since,
         objective_at=objective_at,
         expires_at=admitted.expires_at,
--- a/packages/gateway/eelgrassdale_gateway/candidates.py
+++ b/packages/gateway/eelgrassdale_gateway/candidates.py
@@ -48,14 +48,16 @@
         if self.forecast:
             self.forecast.take()
 
-    def open_candidates(self, excluded: frozenset[str]) -> list[Candidate]:
+    def open_candidates(
+        self, excluded: frozenset[str], *, is_strict: bool = False
+    ) -> list[Candidate]:
         """Return the candidates among which one request is placed.
 
         Those without capacity for any request are left out, and so are avoided ones
         unless all are avoided. Servers in `excluded` are returned only if no other is
-        usable.
+        usable, and never if `is_strict`.
         """
-        if excluded and not self.usable <= excluded:
+        if excluded and (is_strict or not self.usable <= excluded):
             return self._select_open(
                 c for c in self.candidates.values() if c.server.id not in excluded
             )
--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -260,7 +260,9 @@
             # They may be loading weights and become usable soon.
             waiter.last_candidate_at = now
         waiter.earliest_start = group.earliest_start()
-        candidates = group.open_candidates(waiter.excluded)
+        candidates = group.open_candidates(
+            waiter.excluded, is_strict=waiter.is_exclusion_strict
+        )
         if not candidates:
             return None
         return place(
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -9,7 +9,7 @@
 from eelgrassdale.clock import Clock
 from eelgrassdale.http1 import Exchange
 from eelgrassdale.results import ResultCode, ResultError, info_of
-from eelgrassdale_gateway.admission import AdmittedRequest, admit
+from eelgrassdale_gateway.admission import admit
 from eelgrassdale_gateway.advisories import Advisory
 from eelgrassdale_gateway.attempts import AttemptObserver, AttemptRunner
 from eelgrassdale_gateway.calls import AttemptProgress, Call
@@ -104,7 +104,9 @@
         if admitted.is_error():
             await self._send_error(exchange, admitted.error)
             return
-        if not self._admits(admitted.ok):
+        schedule = self._stop_schedule
+        now = self._clock.monotonic()
+        if schedule and not schedule.admits(now=now, expires_at=admitted.ok.expires_at):
             await self._send_error(exchange, ResultCode.LEAVING)
             return
         call = Call(
@@ -127,12 +129,6 @@
             for continuation in call.continuations:
                 continuation.cancel()
 
-    def _admits(self, admitted: AdmittedRequest) -> bool:
-        """Return whether a request can still end before this gateway stops."""
-        return self._stop_schedule is None or self._stop_schedule.admits(
-            now=self._clock.monotonic(), expires_at=admitted.expires_at
-        )
-
     async def _run_within_time_limit(self, call: Call) -> None:
         """Run the attempts; raises `TimeoutError` when the time of the call is up."""
         ends_at = call.admitted.expires_at
@@ -172,7 +168,7 @@
         self,
         call: Call,
         place: Place | None,
-        claim_from_predecessor: Callable[[], None] | None = None,
+        supersede_predecessor: Callable[[], None] | None = None,
     ) -> Outcome:
         waiter = self._retry_places.make_waiter(call)
         placement, in_flight = place or await self._dispatcher.place(waiter)
@@ -181,6 +177,7 @@
         progress = call.attempt = AttemptProgress()
         call.tried_servers |= {server.id}
         call.run_count += 1
+        send_count = call.send_count
         now = self._clock.monotonic()
         self._telemetry.record_placement(
             admitted=admitted,
@@ -206,13 +203,15 @@
                         continue_at=partial(self._continue_at, call),
                     ),
                     progress=progress,
-                    claim_from_predecessor=claim_from_predecessor,
+                    supersede_predecessor=supersede_predecessor,
                 ),
                 latest_start=self._dispatcher.latest_start(server, admitted.model),
             )
         finally:
             self._dispatcher.record_end(in_flight)
-        if isinstance(outcome, NotRun):
+            if call.send_count == send_count:
+                call.run_count -= 1
+        if isinstance(outcome, NotRun) and outcome.was_sent:
             call.run_count -= 1
         self._record_outcome(call, server, outcome, progress)
         await self._prompt_outcomes.record(call, server, outcome)
@@ -222,7 +221,8 @@
         self, call: Call, place: Place, on_claim: Callable[[], None]
     ) -> Outcome:
         """Run an attempt while the one before it is still awaited."""
-        progress = call.attempt
+        earlier_progress = call.attempt
+        send_count = call.send_count
         is_claimed = False
 
         def claim() -> None:
@@ -231,10 +231,7 @@
             on_claim()
 
         try:
-            outcome = await self._run_attempt(call, place, claim)
-            if isinstance(outcome, NotRun) and not outcome.was_sent:
-                self._retry_places.give_back_retry(call)
-            return outcome
+            return await self._run_attempt(call, place, claim)
         except asyncio.CancelledError:
             self._telemetry.record_cancelled_continuation(
                 request_id=call.admitted.request_id,
@@ -243,8 +240,10 @@
             )
             raise
         finally:
+            if call.send_count == send_count:
+                self._retry_places.give_back_retry(call)
             if not is_claimed:
-                call.attempt = progress
+                call.attempt = earlier_progress
 
     def _on_advisory(
         self,
@@ -338,7 +337,10 @@
             self._stop_schedule is not None
             and self._clock.monotonic() < call.admitted.expires_at
         )
-        if call.exchange.is_started:
+        if call.exchange.is_finished:
+            # A continuation has ended the response just before.
+            self._record_end(call, ResultCode.OK)
+        elif call.exchange.is_started:
             self._record_end(
                 call, ResultCode.DEADLINE_EXCEEDED, is_cut_by_stop=is_cut_by_stop
             )
@@ -378,10 +380,8 @@
             return self._quarantine.seconds_until_trial(call.admitted.quarantine_parts)
         now = self._clock.monotonic()
         expires_at = call.admitted.expires_at if call else now
-        seconds = retry_after_seconds(now=now, expires_at=expires_at)
-        if call is not None and call.retry_at is not None:
-            return max(seconds, call.retry_at - now)
-        return seconds
+        retry_at = call.retry_at if call else None
+        return retry_after_seconds(now=now, expires_at=expires_at, retry_at=retry_at)
 
     def _record_end(self, call: Call, code: ResultCode, **fields: object) -> None:
         admitted = call.admitted
--- a/packages/gateway/eelgrassdale_gateway/outcomes.py
+++ b/packages/gateway/eelgrassdale_gateway/outcomes.py
@@ -28,7 +28,7 @@
 
 @frozen(kw_only=True)
 class Superseded:
-    """The response made no progress, and another backend server has continued it.
+    """The response stalled, and another backend server has continued it.
 
     `continuation` is the attempt there, which relays events already.
     """
--- a/packages/gateway/eelgrassdale_gateway/queueing.py
+++ b/packages/gateway/eelgrassdale_gateway/queueing.py
@@ -33,7 +33,8 @@
     `tokens` are the prompt tokens that an engine must read, `output_tokens` an
     estimate of those that it generates. `prompt_parts` are the shared parts of its
     prompt, as `AdmittedRequest.quarantine_parts`. `excluded` are the ids of backend
-    servers at which an earlier attempt failed. `objective_at` is when its first event
+    servers at which an earlier attempt failed; with `is_exclusion_strict` they are not
+    used even if no other is usable. `objective_at` is when its first event
     is due, `expires_at` when the gateway ends the request. `min_first_event_seconds`
     and `streaming_seconds` are the times to its first event and from there to its last
     at an idle engine. `last_candidate_at` is when a backend server that may run it was
@@ -49,6 +50,7 @@
     regions: frozenset[str] = frozenset()
     prompt_parts: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
+    is_exclusion_strict: bool = False
     arrived_at: float
     objective_at: float
     expires_at: float
@@ -112,15 +114,20 @@
     return None
 
 
-def retry_after_seconds(*, now: float, expires_at: float) -> float:
+def retry_after_seconds(
+    *, now: float, expires_at: float, retry_at: float | None = None
+) -> float:
     """Return after how many seconds a refused caller should retry.
 
+    `retry_at` is when a server takes requests again, if that is known.
+
     Examples
     --------
     >>> retry_after_seconds(now=1.0, expires_at=4.0)
     0.99
 
     """
-    return round(
-        max(MIN_RETRY_AFTER_SECONDS, RETRY_AFTER_SHARE * (expires_at - now)), 3
-    )
+    seconds = max(MIN_RETRY_AFTER_SECONDS, RETRY_AFTER_SHARE * (expires_at - now))
+    if retry_at is not None:
+        seconds = max(seconds, retry_at - now)
+    return round(seconds, 3)
--- a/packages/gateway/eelgrassdale_gateway/responses.py
+++ b/packages/gateway/eelgrassdale_gateway/responses.py
@@ -95,11 +95,12 @@
     """Relay each event to the caller once it has arrived completely.
 
     Return the outcome and whether the connection can be reused. Raises as `read_body`
-    does.
+    does, and `ResponseSuperseded`.
     """
     splitter = EventSplitter()
     memory = call.response_memory.budget.reservation()
     has_event = False
+    lacked_event = call.lacks_event
     try:
         while (data := await watch.read(conn.chunk)) is not None:
             event_count = call.event_count
@@ -112,22 +113,27 @@
                 if not has_event:
                     has_event = True
                     on_first_event()
+            if watch.is_sole_reader():
+                # A continuation that ends must know of the partial event already.
+                call.lacks_event = splitter.has_partial_event() or (
+                    lacked_event and not has_event
+                )
         if splitter.has_partial_event():
             return Lost(reason="stream ended within an event"), False
         if conn.is_disconnected and watch.is_contested():
             # Without a length, the end of a failed server's connection looks like this.
             return Lost(reason="stream ended without an event"), False
+        if call.lacks_event or not call.event_count:
+            # Without a length, the end of a failed server's connection looks like this.
+            return Lost(reason="stream ended without an event"), False
         await watch.claim()
     except InvalidEventStream as exc:
         return Lost(reason=str(exc)), False
     finally:
         memory.release()
-        if splitter.has_partial_event() and not watch.is_continuation():
+        if splitter.has_partial_event() and watch.is_sole_reader():
             # Part of an event shows that there is one more.
             call.lacks_event = True
-    if call.lacks_event or not call.event_count:
-        # Without a length, the end of a failed server's connection looks like this.
-        return Lost(reason="stream ended without an event"), False
     await _start_response(call, head)
     await call.exchange.finish()
     return Relayed(), True
@@ -161,7 +167,7 @@
 
 
 def _require_no_gap(call: Call, event: StreamEvent) -> None:
-    """Raise `InvalidEventStream` if an event is not the next one for the caller."""
+    """Raise `InvalidEventStream` before a claim by an event that is not the next."""
     last_event_id = call.last_event_id
     if event.number is None or last_event_id is None:
         return
--- a/packages/gateway/eelgrassdale_gateway/retryplaces.py
+++ b/packages/gateway/eelgrassdale_gateway/retryplaces.py
@@ -20,10 +20,12 @@
     _retry_budgets: RetryBudgets
     _routing_state: RoutingState
 
-    def make_waiter(self, call: Call) -> Waiter:
+    def make_waiter(self, call: Call, *, is_continuation: bool = False) -> Waiter:
         """Return the queue entry for the next attempt of a request."""
         service = self._routing_state.table.services.get(call.admitted.service)
-        return make_waiter(call, service.engine if service else None)
+        return make_waiter(
+            call, service.engine if service else None, is_continuation=is_continuation
+        )
 
     async def seek(self, call: Call) -> Place | None:
         """Take a retry and wait for a place for it; None if one is refused."""
@@ -36,16 +38,12 @@
             return None
         is_found = False
         try:
-            place = await self._dispatcher.place(self.make_waiter(call))
+            waiter = self.make_waiter(call, is_continuation=True)
+            place = await self._dispatcher.place(waiter)
+            is_found = True
+            return place
         except PlacementRefused:
             return None
-        else:
-            # If no other server is usable, the dispatcher returns one that was tried.
-            is_found = place[0].server.id not in call.tried_servers
-            if is_found:
-                return place
-            self._dispatcher.record_end(place[1])
-            return None
         finally:
             if not is_found:
                 self._retry_budgets.give_back(service)
--- a/packages/gateway/eelgrassdale_gateway/stalls.py
+++ b/packages/gateway/eelgrassdale_gateway/stalls.py
@@ -2,8 +2,8 @@
 
 A sound server may be silent for a while and go on. So a response that has begun is
 given up only once another server has continued it: until then both are awaited, and
-the first one to send a further event is relayed. Without another place, or a retry, the
-response is awaited further: to cut it would serve nobody.
+the first one whose next event is valid is relayed. Without another place, or a retry,
+the response is awaited further: to cut it would serve nobody.
 
 A continuation may stall as well and be continued itself. The attempt that relays an
 event claims the stream: it ends its own continuation, and, through the attempt that it
@@ -26,7 +26,7 @@
 
 # Time until another place is sought again after it was refused.
 SEEK_INTERVAL_SECONDS = 0.5
-# Time to read what has arrived of a head that is not complete.
+# Time to read what has arrived while another place or a continuation is awaited.
 PARTIAL_READ_SECONDS = 0.05
 
 log = structlog.get_logger(__name__)
@@ -69,7 +69,7 @@
         How to find and use another server.
     has_begun : callable
         Returns whether the caller has got the beginning of the response.
-    claim_from_predecessor : callable, optional
+    supersede_predecessor : callable, optional
         Ends the attempt that this one continues; None if it continues none.
     """
 
@@ -80,14 +80,14 @@
         timer: ProgressTimer,
         alternatives: Alternatives,
         has_begun: Callable[[], bool],
-        claim_from_predecessor: Callable[[], None] | None = None,
+        supersede_predecessor: Callable[[], None] | None = None,
     ) -> None:
         self.timer = timer
         self.place: Place | None = None
         self._conn = conn
         self._alternatives = alternatives
         self._has_begun = has_begun
-        self._claim_from_predecessor = claim_from_predecessor
+        self._supersede_predecessor = supersede_predecessor
         self._seeking: asyncio.Task[Place | None] | None = None
         self._continuation: asyncio.Task[Outcome] | None = None
         self._superseded: asyncio.Future[None] = (
@@ -108,23 +108,24 @@
         while True:
             self._require_current()
             timeout = self.timer.remaining_seconds()
-            if timeout is None or timeout > 0:
-                await self.stop()
+            # Only `claim` ends a continuation: a head or a comment is no event.
+            if self._continuation is None and (timeout is None or timeout > 0):
+                await self._stop_seeking()
                 with contextlib.suppress(TimeoutError):
                     return await read(timeout)
             if self._seeking is not None or self._continuation is not None:
                 # The connection may hold more than it returned before.
                 with contextlib.suppress(TimeoutError):
                     return await read(PARTIAL_READ_SECONDS)
-            await self._wait_for_news()
+            await self._wait_for_bytes_or_task()
 
-    def is_continuation(self) -> bool:
-        """Return whether the attempt before this one is still awaited."""
-        return self._claim_from_predecessor is not None
+    def is_sole_reader(self) -> bool:
+        """Return whether this attempt continues none and none has continued it."""
+        return self._supersede_predecessor is None and not self._superseded.done()
 
     def is_contested(self) -> bool:
         """Return whether another attempt may still relay the next event."""
-        return self._continuation is not None or self.is_continuation()
+        return self._continuation is not None or self._supersede_predecessor is not None
 
     async def claim(self) -> None:
         """Make this response the one that is relayed; ends its continuation.
@@ -136,7 +137,7 @@
         """
         self._require_current()
         await self._stop_continuation()
-        self._end_predecessor()
+        self._supersede_earlier()
 
     async def wait_for_continuation(self) -> None:
         """Wait until the continuation, if there is one, has failed.
@@ -163,7 +164,7 @@
         await self._stop_seeking()
         await self._stop_continuation()
 
-    async def _wait_for_news(self) -> None:
+    async def _wait_for_bytes_or_task(self) -> None:
         """Return when bytes have arrived, or a search or a continuation has ended."""
         if self._seeking is None and self._continuation is None:
             self._seeking = asyncio.ensure_future(self._alternatives.seek_place())
@@ -205,10 +206,10 @@
             return
         self._superseded.set_result(None)
         self._conn.close()
-        self._end_predecessor()
+        self._supersede_earlier()
 
-    def _end_predecessor(self) -> None:
-        claim, self._claim_from_predecessor = self._claim_from_predecessor, None
+    def _supersede_earlier(self) -> None:
+        claim, self._supersede_predecessor = self._supersede_predecessor, None
         if claim is not None:
             claim()
 
@@ -253,6 +254,6 @@
     if task.cancelled():
         return None
     if (exc := task.exception()) is not None:
-        log.error("continuation failed", exc_info=exc)
+        log.error("search or continuation failed", exc_info=exc)
         return None
     return task.result()
