--- a/packages/gateway/eelgrassdale_gateway/stalls.py
+++ b/packages/gateway/eelgrassdale_gateway/stalls.py
@@ -209,9 +209,9 @@
         self._supersede_earlier()
 
     def _supersede_earlier(self) -> None:
-        claim, self._supersede_predecessor = self._supersede_predecessor, None
-        if claim is not None:
-            claim()
+        supersede, self._supersede_predecessor = self._supersede_predecessor, None
+        if supersede is not None:
+            supersede()
 
     def _require_current(self) -> None:
         if self._superseded.done():
