--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -30,10 +30,9 @@
     events already relayed to the caller; `lacks_event` is true if the stream is known
     to have a further one. `response_memory` counts the bytes of a response that are
     held whole. `attempt` describes the response to the newest attempt, or to the one
-    before if that one ended without relaying an event. `next_place` is
-    a place that was found for the next one, `continuations` are attempts that continue
-    the stream of an earlier one. `retry_at` is when a refused caller may
-    come back, if that is known.
+    before if that one ended without relaying an event. `next_place` is a place that was
+    found for the next one, `continuations` are attempts that continue the stream of an
+    earlier one. `retry_at` is when a refused caller may come back, if that is known.
     """
 
     admitted: AdmittedRequest
