--- a/packages/gateway/eelgrassdale_gateway/mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/mirror.py
@@ -125,7 +125,7 @@
             listing = await self._source.list(self.kind)
             self.staleness_seconds = 0.0
             if has_followed and not self._store_failed:
-                self.staleness_seconds = self._seconds_without_answer()
+                self.staleness_seconds = self.seconds_without_answer()
             self._record_success()
             self._revision = listing.revision
             objects = {item.name: item for item in listing.objects}
@@ -150,7 +150,8 @@
             # The task that runs this mirror would end the process, with all requests.
             log.exception("objects cannot be applied", kind=self.kind)
 
-    def _seconds_without_answer(self) -> float:
+    def seconds_without_answer(self) -> float:
+        """Return the seconds since the source last answered, 0 before it first did."""
         if self._answered_at is None:
             return 0.0
         return self._clock.monotonic() - self._answered_at
--- a/packages/gateway/eelgrassdale_gateway/mirrorset.py
+++ b/packages/gateway/eelgrassdale_gateway/mirrorset.py
@@ -50,6 +50,10 @@
             for kind, mirror in self._mirrors.items()
         }
 
+    def longest_silence_seconds(self) -> float:
+        """Return for how long the kind that waits longest has had no answer."""
+        return max(mirror.seconds_without_answer() for mirror in self._mirrors.values())
+
     async def run(self) -> None:
         """Follow all kinds until cancelled."""
         async with asyncio.TaskGroup() as group:
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -214,6 +214,11 @@
             mirrors=make_mirrors(source),
             peer_revisions=self.peers.newest_revisions,
         )
+        self.telemetry.gauge(
+            "copy_silence_seconds",
+            "Time since the source of a copy of objects answered, longest of all kinds.",
+            self._mirror_set.longest_silence_seconds,
+        )
 
     def keep_quarantines(self, store: ObjectStore, *, kind: str) -> None:
         """Keep the quarantines of prompts in the platform's store."""
