--- a/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
@@ -29,6 +29,8 @@
 from eelgrassdale_gateway.staging.relay import GatewayEndpoint
 
 KIND = "k"
+# Rules with a time limit do not bind a node that was cut off within this time.
+CONTACT_SECONDS = 3.0
 
 
 def gateway(name, data_centre="a", port=1):
@@ -71,10 +73,14 @@
 
 @define
 class FakeStore:
-    """A store that refuses or does not notify some nodes; counts each node's calls."""
+    """A store that refuses or does not notify some nodes; counts each node's calls.
+
+    Calls that arrive while `is_silent` are never answered.
+    """
 
     value: int = 1
     revision: int = 5
+    is_silent: bool = False
     refused_nodes: set[str] = field(factory=set)
     silenced_nodes: set[str] = field(factory=set)
     calls: dict[str, int] = field(factory=dict)
@@ -99,6 +105,8 @@
 
     async def _call(self):
         self.store.calls[self.name] = self.store.calls.get(self.name, 0) + 1
+        if self.store.is_silent:
+            await asyncio.Event().wait()
         if self.name in self.store.refused_nodes:
             raise StoreUnavailable("refused by the store")
 
@@ -311,3 +319,19 @@
         return store.calls["n-1"]
 
     assert run_with_silent_peer(scenario) == 2
+
+
+def test_change_after_a_silence_of_the_store_is_not_missed():
+    """Guards against copies that stay behind watches without an answer."""
+
+    async def scenario(store, nodes):
+        store.write(2)
+        store.is_silent = True
+        await wait_for_value(nodes, 2)
+        await asyncio.sleep(0.1)
+        store.is_silent = False
+        store.write(3)
+        async with asyncio.timeout(CONTACT_SECONDS):
+            await wait_for_value(nodes, 3)
+
+    run_scenario(scenario)
