--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -216,7 +216,7 @@
         )
         self.telemetry.gauge(
             "copy_silence_seconds",
-            "Time since the source of a copy of objects answered, longest of all kinds.",
+            "Longest time since the source of a copy of objects answered.",
             self._mirror_set.longest_silence_seconds,
         )
 
