Compare the copies of a gateway with the store at short intervals

Callers: their requests reached backend servers 2.1 to 2.3 s and more after these had said that they leave (DRAIN), and configurations would have come as late (CONFIG).

Cause: the store never answers a call that arrives while it is silent, also not after its return, and the connection stays open. All watchers of the servers had asked again in that time, after one change. Each waited 28 s, and no gateway knew more than the others.

Change: each gateway that reads from the store asks for its revision at half the time after which rules bind a gateway again. A kind whose changes do not account for it is read. So a change is known in that time whatever becomes of a watch, and one call is enough while nothing is missing. Checks without an answer count as an outage, so that servers whose entries lapsed meanwhile are kept as in an outage that breaks the watches.

--- a/packages/gateway/eelgrassdale_gateway/changelog.py
+++ b/packages/gateway/eelgrassdale_gateway/changelog.py
@@ -1,6 +1,7 @@
 """A copy of one kind of objects with its recent changes, for followers."""
 
 import asyncio
+import itertools
 from collections import deque
 from collections.abc import Iterable, Mapping
 
@@ -93,6 +94,25 @@
         }
         return tuple(newest.values())
 
+    def revisions_after(self, revision: int) -> set[int]:
+        """Return the revisions of the known changes after a revision.
+
+        Changes that later ones replaced may be left out, and deletions whose entry has
+        no revision of its own.
+
+        Examples
+        --------
+        >>> log = ChangeLog()
+        >>> log.replace({"a": StoredObject(name="a", revision=3)}, 5)
+        >>> log.add([Change(object=StoredObject(name="b", revision=6))], 7)
+        >>> log.revisions_after(2), log.revisions_after(5)
+        ({3, 6}, {6})
+
+        """
+        changes = (change.object for _, change in self._changes)
+        items = itertools.chain(changes, self.objects.values())
+        return {item.revision for item in items if item.revision > revision}
+
     async def wait(self) -> None:
         """Wait until the copy changes or becomes unavailable."""
         await self._changed.wait()
--- a/packages/gateway/eelgrassdale_gateway/gatewaysettings.py
+++ b/packages/gateway/eelgrassdale_gateway/gatewaysettings.py
@@ -13,9 +13,10 @@
     operators set a newer one; `startup_grace_seconds` is the same from the start of
     this process for versions set before it. `retry_ratio` and `retry_slack` limit the
     retries of all gateways together in any `retry_window_seconds`. `stop_seconds` is
-    the time that the platform gives the process to stop. `body_memory_bytes` limits the
-    memory for the bodies of all requests together, and as much for those of all
-    responses.
+    the time that the platform gives the process to stop. A gateway that reads from the
+    store compares its copies with it every `copy_check_seconds`. `body_memory_bytes`
+    limits the memory for the bodies of all requests together, and as much for those of
+    all responses.
     """
 
     name: str
@@ -31,4 +32,5 @@
     retry_slack: float = 20.0
     retry_window_seconds: float = 10.0
     stop_seconds: float = 8.0
+    copy_check_seconds: float = 1.5
     body_memory_bytes: int = 33_554_432
--- a/packages/gateway/eelgrassdale_gateway/mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/mirror.py
@@ -46,6 +46,8 @@
         How long ago the changes may have been made with which `on_change` is called.
         It is above 0 where the whole kind was read again as the gateway from which
         changes came did not tell of them. An outage of the store does not count.
+    answer_count : int
+        Number of listings and watches that the source has answered.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self.kind = kind
         self.change_log = ChangeLog()
         self.staleness_seconds = 0.0
+        self.answer_count = 0
         self._revision: int | None = None
         self._answered_at: float | None = None
         self._store_failed = False
@@ -77,6 +80,14 @@
         # Backoff needs no reproducible randomness.
         self._rng = Random()
 
+    @property
+    def revision(self) -> int | None:
+        """The store's revision to which the copy is known to be complete.
+
+        None while the kind has to be read as a whole.
+        """
+        return self._revision
+
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
         while True:
@@ -99,6 +110,25 @@
         """Read the whole kind again, because other nodes have newer changes."""
         self._refresh_requested.set()
 
+    def confirm(self, revision: int) -> None:
+        """Record that the store has no further changes up to a revision.
+
+        The next watch starts there, so that it needs no history of before.
+        """
+        if self._revision is not None:
+            self._revision = max(self._revision, revision)
+            self._answered_at = self._clock.monotonic()
+
+    def record_store_failure(self, *, since: float) -> None:
+        """Record that the store itself does not answer, although a watch is open."""
+        self._store_failed = True
+        if self._unavailable_since is None:
+            self._unavailable_since = since
+
+    def record_store_answer(self) -> None:
+        """Record that the store answers again, although a watch is still open."""
+        self._end_outage()
+
     async def _step_or_refresh(self) -> None:
         step = asyncio.ensure_future(self._step())
         refresh = asyncio.ensure_future(self._refresh_requested.wait())
@@ -157,8 +187,12 @@
         return self._clock.monotonic() - self._answered_at
 
     def _record_success(self) -> None:
+        self.answer_count += 1
         self._answered_at = self._clock.monotonic()
         self._backoff_seconds = MIN_BACKOFF_SECONDS
+        self._end_outage()
+
+    def _end_outage(self) -> None:
         if self._unavailable_since is None:
             return
         seconds = self._clock.monotonic() - self._unavailable_since
@@ -169,8 +203,11 @@
             self._on_recovery(seconds)
 
     async def _back_off(self, exc: StoreUnavailable) -> None:
-        if self._unavailable_since is None:
+        is_first_failure = self._unavailable_since is None
+        if is_first_failure:
             self._unavailable_since = self._clock.monotonic()
+        # The store may have failed checks before its watch failed.
+        if is_first_failure or self.change_log.revision is not None:
             log.warning(
                 "objects cannot be read; retrying", kind=self.kind, reason=str(exc)
             )
--- a/packages/gateway/eelgrassdale_gateway/mirrorset.py
+++ b/packages/gateway/eelgrassdale_gateway/mirrorset.py
@@ -6,6 +6,7 @@
 import structlog
 
 from eelgrassdale_gateway.changelog import ChangeLog
+from eelgrassdale_gateway.copycheck import CopyCheck
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.sharedsource import SharedSource
 
@@ -23,6 +24,8 @@
     ----------
     peer_revisions : callable
         Returns the newest revision of each kind that live gateways report.
+    copy_check : CopyCheck
+        Compares the copies with the store.
     """
 
     def __init__(
@@ -31,10 +34,12 @@
         source: SharedSource,
         mirrors: Sequence[Mirror],
         peer_revisions: Callable[[], Mapping[str, int]],
+        copy_check: CopyCheck,
     ) -> None:
         self.source = source
         self._mirrors = {mirror.kind: mirror for mirror in mirrors}
         self._peer_revisions = peer_revisions
+        self._copy_check = copy_check
         self._previously_behind: dict[str, int] = {}
         # Newest revision for which each kind was refreshed already.
         self._refreshed_at_revision: dict[str, int] = {}
@@ -59,6 +64,7 @@
         async with asyncio.TaskGroup() as group:
             for mirror in self._mirrors.values():
                 group.create_task(mirror.run())
+            group.create_task(self._copy_check.run())
             while True:
                 await asyncio.sleep(CHECK_INTERVAL_SECONDS)
                 self.refresh_stale()
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -17,6 +17,7 @@
 from eelgrassdale.pauses import PAUSE_CHECK_INTERVAL_SECONDS, PauseDetector
 from eelgrassdale_gateway.advisories import AdvisoryExchange
 from eelgrassdale_gateway.attempts import AttemptRunner
+from eelgrassdale_gateway.copycheck import CopyCheck
 from eelgrassdale_gateway.dispatcher import Dispatcher
 from eelgrassdale_gateway.forwarding import Forwarder
 from eelgrassdale_gateway.gatewaysettings import GatewaySettings
@@ -209,10 +210,18 @@
             known_revision=self._known_revision,
             clock=self._clock,
         )
+        mirrors = make_mirrors(source)
         self._mirror_set = MirrorSet(
             source=source,
-            mirrors=make_mirrors(source),
+            mirrors=mirrors,
             peer_revisions=self.peers.newest_revisions,
+            copy_check=CopyCheck(
+                store=store,
+                mirrors=mirrors,
+                reads_from_store=source.reads_from_store,
+                clock=self._clock,
+                interval_seconds=self.cfg.copy_check_seconds,
+            ),
         )
         self.telemetry.gauge(
             "copy_silence_seconds",
--- a/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
@@ -8,6 +8,7 @@
 from eelgrassdale.clock import ManualClock, SystemClock
 from eelgrassdale.http1 import HttpServer
 from eelgrassdale.tests.ports import free_address
+from eelgrassdale_gateway.copycheck import CopyCheck
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.mirrorset import MirrorSet
 from eelgrassdale_gateway.objecthttp import ObjectServer
@@ -131,8 +132,9 @@
         self.nodes = nodes
         self.address = None
         self.task = None
+        node_store = NodeStore(store=store, name=name)
         self.source = SharedSource(
-            store=NodeStore(store=store, name=name),
+            store=node_store,
             topology=self.build_topology,
             known_revision=lambda kind: self.mirror.change_log.last_change_revision,
             clock=SystemClock(),
@@ -141,7 +143,16 @@
             kind=KIND, source=self.source, clock=SystemClock(), on_change=self.apply
         )
         self.mirror_set = MirrorSet(
-            source=self.source, mirrors=[self.mirror], peer_revisions=self.newest
+            source=self.source,
+            mirrors=[self.mirror],
+            peer_revisions=self.newest,
+            copy_check=CopyCheck(
+                store=node_store,
+                mirrors=[self.mirror],
+                reads_from_store=self.source.reads_from_store,
+                clock=SystemClock(),
+                interval_seconds=CONTACT_SECONDS / 2,
+            ),
         )
         self.server = HttpServer(
             handler=ObjectServer(
