Leave a copy alone that was read anew during its check

Found while reading: a gateway that took its copy from another one during a check could have recorded that older copy as complete to the store's revision, and no later check would have found the difference. The check now ends if the mirror had an answer meanwhile; the next one compares the new copy.

--- a/packages/gateway/eelgrassdale_gateway/copycheck.py
+++ b/packages/gateway/eelgrassdale_gateway/copycheck.py
@@ -130,11 +130,12 @@
         except HistoryGone:
             mirror.refresh()
             return
-        if not changes.changes:
-            mirror.confirm(store_revision)
+        if changes.changes:
+            await asyncio.sleep(WATCH_LAG_SECONDS)
+        if mirror.answer_count != answers:
+            # The copy is another one now; the next check compares it.
             return
-        await asyncio.sleep(WATCH_LAG_SECONDS)
-        if mirror.answer_count == answers:
+        if changes.changes:
             log.warning(
                 "watch missed changes; reading the whole kind again",
                 kind=mirror.kind,
@@ -143,6 +144,8 @@
                 silence=round(mirror.seconds_without_answer(), 3),
             )
             mirror.refresh()
+        else:
+            mirror.confirm(store_revision)
 
     async def _call(self, call: Awaitable[T]) -> T:
         try:
