Tell followers of an outage of the store with the changes after it

Callers: after a silence of the store in which entries lapse, the gateways that follow others dropped all servers of these entries, until the servers had written them again.

Cause: only a gateway whose own call of the store failed knew of the outage. A follower got the removals from a watcher as if the servers had left.

The new test failed before.

Change: a page of objects carries the length of an outage that has just ended, and a follower keeps lapsed entries as a watcher does.

--- a/packages/gateway/eelgrassdale_gateway/changelog.py
+++ b/packages/gateway/eelgrassdale_gateway/changelog.py
@@ -9,6 +9,9 @@
 
 # Changes kept; followers that need older ones read the whole kind.
 MAX_CHANGES = 2048
+# For this time after an outage of the store, followers are told of it. Entries that
+# lapsed meanwhile are reported as removed within it.
+OUTAGE_NEWS_SECONDS = 1.0
 
 
 class ChangeLog:
@@ -34,6 +37,8 @@
         self.last_change_revision = 0
         self._changes: deque[tuple[int, Change]] = deque()
         self._history_start = 0
+        self._outage_seconds = 0.0
+        self._outage_ended_at = float("-inf")
         self._changed = asyncio.Event()
 
     def replace(self, objects: Mapping[str, StoredObject], revision: int) -> None:
@@ -80,6 +85,16 @@
         self.revision = None
         self._notify()
 
+    def record_outage(self, seconds: float, *, now: float) -> None:
+        """Record the length of an outage of the store that ends now."""
+        self._outage_seconds = seconds
+        self._outage_ended_at = now
+
+    def recent_outage_seconds(self, *, now: float) -> float:
+        """Return the length of an outage that has just ended, or 0."""
+        is_recent = now - self._outage_ended_at <= OUTAGE_NEWS_SECONDS
+        return self._outage_seconds if is_recent else 0.0
+
     def since(self, revision: int) -> tuple[Change, ...] | None:
         """Return the last change of each object after a revision.
 
--- a/packages/gateway/eelgrassdale_gateway/mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/mirror.py
@@ -33,7 +33,8 @@
         Called after each change, with all objects by name.
     on_recovery : callable
         Called when the objects can be read again after an outage in which a call
-        of the store itself failed, with its length in seconds.
+        of the store itself failed, here or at the gateway from which changes come,
+        with its length in seconds.
     debounce_seconds : float
         Seconds between a change and the next call. Kinds with many writers change
         in bursts, which then cost one call.
@@ -157,6 +158,7 @@
             if has_followed and not self._store_failed:
                 self.staleness_seconds = self.seconds_without_answer()
             self._record_success()
+            self._record_reported_outage(listing.outage_seconds)
             self._revision = listing.revision
             objects = {item.name: item for item in listing.objects}
             self.change_log.replace(objects, listing.revision)
@@ -167,6 +169,7 @@
         )
         self.staleness_seconds = 0.0
         self._record_success()
+        self._record_reported_outage(changes.outage_seconds)
         self._revision = max(self._revision, changes.revision)
         self.change_log.add(changes.changes, self._revision)
         if changes.changes:
@@ -200,6 +203,12 @@
         log.info("objects can be read again", kind=self.kind, outage=round(seconds, 3))
         if self._store_failed:
             self._store_failed = False
+            self.change_log.record_outage(seconds, now=self._clock.monotonic())
+            self._on_recovery(seconds)
+
+    def _record_reported_outage(self, seconds: float) -> None:
+        """Record an outage that another gateway reports; 0 if there was none."""
+        if seconds > 0:
             self._on_recovery(seconds)
 
     async def _back_off(self, exc: StoreUnavailable) -> None:
--- a/packages/gateway/eelgrassdale_gateway/objecthttp.py
+++ b/packages/gateway/eelgrassdale_gateway/objecthttp.py
@@ -13,6 +13,7 @@
 
 from attrs import frozen
 
+from eelgrassdale.clock import Clock
 from eelgrassdale.http1 import (
     ConnectFailed,
     ConnectionPool,
@@ -22,6 +23,7 @@
 )
 from eelgrassdale_gateway.changelog import ChangeLog
 from eelgrassdale_gateway.messages import (
+    MAX_INT32,
     GatewayEntry,
     GatewayList,
     ObjectPage,
@@ -118,6 +120,8 @@
         Returns whether the copy of a kind is read from the store itself.
     gateways : callable
         Returns the live gateways, this one included.
+    clock : Clock
+        Source of monotonic time, the same as that of the mirrors.
     """
 
     def __init__(
@@ -126,11 +130,13 @@
         change_logs: Callable[[], Mapping[str, ChangeLog]],
         reads_from_store: Callable[[str], bool],
         gateways: Callable[[], Sequence[GatewayEndpoint]],
+        clock: Clock,
     ) -> None:
         self._change_logs = change_logs
         self._reads_from_store = reads_from_store
         self._gateways = gateways
-        self._page_cache: dict[tuple[str, int | None, int | None], bytes] = {}
+        self._clock = clock
+        self._page_cache: dict[tuple[str, int | None, int | None, int], bytes] = {}
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -184,10 +190,12 @@
         self, query: ObjectQuery, log: ChangeLog, changes: Sequence[Change] | None
     ) -> bytes:
         """Return a whole kind or its changes, encoded once for all followers."""
-        key = (query.kind, query.since, log.revision)
+        outage_seconds = log.recent_outage_seconds(now=self._clock.monotonic())
+        outage_ms = min(MAX_INT32, int(outage_seconds * 1000))
+        key = (query.kind, query.since, log.revision, outage_ms)
         page = self._page_cache.get(key)
         if page is None:
-            page = _encode_page(log, changes)
+            page = _encode_page(log, changes, outage_ms)
             while len(self._page_cache) >= MAX_CACHED_PAGES:
                 del self._page_cache[next(iter(self._page_cache))]
             self._page_cache[key] = page
@@ -204,7 +212,12 @@
         """Return a whole kind, and the revision of its newest change."""
         page = await self._page(address, query)
         objects = tuple(_decode_record(record) for record in page.records)
-        return Listing(objects=objects, revision=page.revision), page.changed_at
+        listing = Listing(
+            objects=objects,
+            revision=page.revision,
+            outage_seconds=_outage_seconds(page),
+        )
+        return listing, page.changed_at
 
     async def watch(self, address: Address, query: ObjectQuery) -> Changes:
         """Return changes; raises `HistoryGone` if the gateway no longer has them."""
@@ -213,7 +226,11 @@
             Change(object=_decode_record(record), is_deleted=bool(record.is_deleted))
             for record in page.records
         )
-        return Changes(changes=changes, revision=page.revision)
+        return Changes(
+            changes=changes,
+            revision=page.revision,
+            outage_seconds=_outage_seconds(page),
+        )
 
     async def gateways(self, address: Address) -> Sequence[GatewayEndpoint]:
         """Return the gateways that the gateway at `address` considers alive."""
@@ -279,17 +296,26 @@
     return encode_struct(GatewayList(gateways=entries))
 
 
-def _encode_page(log: ChangeLog, changes: Sequence[Change] | None) -> bytes:
+def _encode_page(
+    log: ChangeLog, changes: Sequence[Change] | None, outage_ms: int
+) -> bytes:
     if changes is None:
         records = [_encode_record(item) for item in log.objects.values()]
     else:
         records = [_encode_record(c.object, is_deleted=c.is_deleted) for c in changes]
     page = ObjectPage(
-        revision=log.revision, records=records, changed_at=log.last_change_revision
+        revision=log.revision,
+        records=records,
+        changed_at=log.last_change_revision,
+        outage_ms=outage_ms or None,
     )
     return zlib.compress(encode_struct(page), COMPRESSION_LEVEL)
 
 
+def _outage_seconds(page: Any) -> float:
+    return (page.outage_ms or 0) / 1000
+
+
 def _encode_record(item: StoredObject, *, is_deleted: bool = False) -> Any:
     return ObjectRecord(
         name=item.name,
--- a/packages/gateway/eelgrassdale_gateway/objects.py
+++ b/packages/gateway/eelgrassdale_gateway/objects.py
@@ -41,18 +41,27 @@
 
 @frozen(kw_only=True)
 class Listing:
-    """All objects of a kind at a revision of the store."""
+    """All objects of a kind at a revision of the store.
+
+    `outage_seconds` is the length of an outage of the store that has just ended, as
+    another gateway tells it, or 0.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
+    outage_seconds: float = 0.0
 
 
 @frozen(kw_only=True)
 class Changes:
-    """Changes of a kind up to a revision of the store."""
+    """Changes of a kind up to a revision of the store.
+
+    `outage_seconds` has the same meaning as that of `Listing`.
+    """
 
     changes: tuple[Change, ...]
     revision: int
+    outage_seconds: float = 0.0
 
 
 class ObjectSource(Protocol):
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -119,6 +119,8 @@
     1: i64 revision
     2: list<ObjectRecord> records
     3: i64 changed_at
+    // Length of an outage of the store that has just ended; absent if there was none.
+    4: optional i32 outage_ms
 }
 
 struct GatewayEntry {
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -195,6 +195,7 @@
                 kind
             ),
             gateways=self._all_gateway_endpoints,
+            clock=self._clock,
         )
         self._peer_server = HttpServer(handler=self._handle_peer)
 
--- a/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
@@ -8,6 +8,7 @@
 from eelgrassdale.clock import ManualClock, SystemClock
 from eelgrassdale.http1 import HttpServer
 from eelgrassdale.tests.ports import free_address
+from eelgrassdale_gateway import copycheck
 from eelgrassdale_gateway.copycheck import CopyCheck
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.mirrorset import MirrorSet
@@ -129,6 +130,8 @@
     def __init__(self, name, store, nodes):
         self.name = name
         self.value = None
+        # What the node applied, outages and values in order.
+        self.applied = []
         self.nodes = nodes
         self.address = None
         self.task = None
@@ -140,7 +143,11 @@
             clock=SystemClock(),
         )
         self.mirror = Mirror(
-            kind=KIND, source=self.source, clock=SystemClock(), on_change=self.apply
+            kind=KIND,
+            source=self.source,
+            clock=SystemClock(),
+            on_change=self.apply,
+            on_recovery=lambda _seconds: self.applied.append("outage"),
         )
         self.mirror_set = MirrorSet(
             source=self.source,
@@ -159,11 +166,13 @@
                 change_logs=self.mirror_set.change_logs,
                 reads_from_store=self.source.reads_from_store,
                 gateways=lambda: [],
+                clock=SystemClock(),
             ).handle
         )
 
     def apply(self, objects):
         self.value = objects["o"].spec
+        self.applied.append(self.value)
 
     def newest(self):
         revisions = [node.mirror_set.revisions()[KIND] for node in self.nodes]
@@ -346,3 +355,19 @@
             await wait_for_value(nodes, 3)
 
     run_scenario(scenario)
+
+
+def test_followers_know_of_an_outage_before_the_changes_that_it_caused(monkeypatch):
+    """Guards against servers dropped by followers as their entries lapsed."""
+    monkeypatch.setattr(copycheck, "CALL_TIMEOUT_SECONDS", 0.1)
+
+    async def scenario(store, nodes):
+        store.is_silent = True
+        await asyncio.sleep(CONTACT_SECONDS / 2 + 1.0)
+        store.is_silent = False
+        store.write(2)
+        await wait_for_value(nodes, 2)
+        return [node.applied for node in nodes]
+
+    for applied in run_scenario(scenario):
+        assert "outage" in applied[: applied.index(2)]
