--- a/packages/gateway/eelgrassdale_gateway/copycheck.py
+++ b/packages/gateway/eelgrassdale_gateway/copycheck.py
@@ -18,7 +18,7 @@
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.objects import HistoryGone, ObjectSource, StoreUnavailable
 
-# Ten times the answer of a slow store. A call without an answer delays the next one.
+# Well above the answer of a slow store; no further check begins meanwhile.
 CALL_TIMEOUT_SECONDS = 1.0
 RETRY_SECONDS = 0.5
 # A watch may be about to report a change that a check has found.
