--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -125,33 +125,7 @@
             self.peers.table.add(seed)
         self._pool = ConnectionPool(connect_seconds=CONNECT_SECONDS)
         self.telemetry = RequestTelemetry()
-        self.telemetry.gauge(
-            "waiting_requests",
-            "Requests that wait for a backend server.",
-            self.dispatcher.waiting_count,
-        )
-        self.telemetry.gauge(
-            "live_gateways",
-            "Live gateways, this one included.",
-            self._live_gateway_count,
-        )
-        self.telemetry.gauge(
-            "quarantined_prompts",
-            "Combinations of prompt parts whose requests are refused.",
-            lambda: len(self.dispatcher.quarantine.active()),
-        )
-        self.telemetry.gauge(
-            "leaving_servers",
-            "Backend servers that said in a response that they leave.",
-            self.dispatcher.advisories.leaving_count,
-        )
-        self.telemetry.gauge(
-            "limited_servers",
-            "Backend servers that name a limit of requests.",
-            lambda: self.dispatcher.advisories.limited_count(
-                now=self._clock.monotonic()
-            ),
-        )
+        self._add_gauges()
         self._retry_budgets = RetryBudgets(
             clock=self._clock,
             ratio=cfg.retry_ratio,
@@ -346,6 +320,35 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         log.info("stopped", handling=self.server.active_requests)
 
+    def _add_gauges(self) -> None:
+        self.telemetry.gauge(
+            "waiting_requests",
+            "Requests that wait for a backend server.",
+            self.dispatcher.waiting_count,
+        )
+        self.telemetry.gauge(
+            "live_gateways",
+            "Live gateways, this one included.",
+            self._live_gateway_count,
+        )
+        self.telemetry.gauge(
+            "quarantined_prompts",
+            "Combinations of prompt parts whose requests are refused.",
+            lambda: len(self.dispatcher.quarantine.active()),
+        )
+        self.telemetry.gauge(
+            "leaving_servers",
+            "Backend servers that said in a response that they leave.",
+            self.dispatcher.advisories.leaving_count,
+        )
+        self.telemetry.gauge(
+            "limited_servers",
+            "Backend servers that name a limit of requests.",
+            lambda: self.dispatcher.advisories.limited_count(
+                now=self._clock.monotonic()
+            ),
+        )
+
     def _on_new_gateway(self, address: Address) -> None:
         """Tell a gateway that has just started what it cannot know yet."""
         self._quarantine_exchange.send_states(address)
