Give up a listing without an answer for a gateway that knows more

Each time that others were found ahead it began again, and asked the silent store first again, though two gateways had the newer copy.

Cause: only the source of a copy could be avoided, not one that has not answered yet.

Change: while a kind is being listed, the source that is asked counts as the current one. The listing of an avoided store ends after 1 s.

--- a/packages/gateway/eelgrassdale_gateway/sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/sharedsource.py
@@ -32,6 +32,9 @@
 STALE_SOURCE_COOLDOWN_SECONDS = 3.0
 # The store is asked again after a shorter time, as its failure may be brief.
 STORE_COOLDOWN_SECONDS = 0.5
+# A listing of the store while it is avoided is given up after this time, as gateways
+# that could not answer before it may do so again.
+AVOIDED_STORE_TIMEOUT_SECONDS = 1.0
 # Time from the first failure of a followed gateway until a follower may read from
 # the store, so that its watchers can reconnect. Otherwise one interrupted watch
 # would send all nodes to the store.
@@ -150,28 +153,38 @@
         self._is_store_stale = False
         # Source of the current copy of each kind; None is the store.
         self._sources: dict[str, Address | None] = {}
+        # Source from which each kind is being listed; None is the store.
+        self._asked_sources: dict[str, Address | None] = {}
 
     def reads_from_store(self, kind: str) -> bool:
         """Return whether the copy of a kind comes from the store itself."""
         return self._sources.get(kind, ()) is None
 
     def avoid_current_source(self, kind: str) -> None:
-        """Avoid the current source of a kind for a while, as its copy is stale."""
-        if kind in self._sources:
-            source = self._sources[kind]
-            self._start_cooldown(source, STALE_SOURCE_COOLDOWN_SECONDS)
-            self._is_store_stale |= source is None
+        """Avoid the current source of a kind for a while, as its copy is stale.
+
+        While the kind is being listed, it is the source that has not answered yet.
+        """
+        for sources in (self._asked_sources, self._sources):
+            if kind in sources:
+                source = sources[kind]
+                self._start_cooldown(source, STALE_SOURCE_COOLDOWN_SECONDS)
+                self._is_store_stale |= source is None
+                return
 
     async def list(self, kind: str) -> Listing:
         """Return all objects of a kind; raises `StoreUnavailable`."""
         store_failed = False
         for address in self._sources_to_list():
+            self._asked_sources[kind] = address
             try:
                 listing = await self._list_from(kind, address)
             except StoreUnavailable as exc:
                 store_failed |= exc.is_store_failure
                 self._record_failure(kind, address, exc)
                 continue
+            finally:
+                del self._asked_sources[kind]
             self._record_success(kind, address)
             if address is None:
                 self._cooldown_until.pop(None, None)
@@ -229,6 +242,8 @@
             watch_task.cancel()
 
     async def _list_from(self, kind: str, address: Address | None) -> Listing:
+        if address is None and self._is_store_avoided():
+            return await self._list_avoided_store(kind)
         if address is None:
             return await self._store.list(kind)
         query = ObjectQuery(kind=kind, direct_only=self._topology().is_gateway)
@@ -240,6 +255,18 @@
             )
         return listing
 
+    async def _list_avoided_store(self, kind: str) -> Listing:
+        try:
+            async with asyncio.timeout(AVOIDED_STORE_TIMEOUT_SECONDS):
+                return await self._store.list(kind)
+        except TimeoutError as exc:
+            raise StoreUnavailable("no answer of a store that is avoided") from exc
+
+    def _is_store_avoided(self) -> bool:
+        """Return whether the store is in cooldown because a copy from it was stale."""
+        until = self._cooldown_until.get(None, 0.0)
+        return self._is_store_stale and until > self._clock.monotonic()
+
     def _available_sources(self) -> Sequence[Address | None]:
         """Return the sources that are not in cooldown, most preferred first."""
         now = self._clock.monotonic()
@@ -259,8 +286,7 @@
         is only avoided as stale comes last, for the case that no gateway answers.
         """
         sources = self._available_sources()
-        is_avoided = self._cooldown_until.get(None, 0.0) > self._clock.monotonic()
-        return [*sources, None] if self._is_store_stale and is_avoided else sources
+        return [*sources, None] if self._is_store_avoided() else sources
 
     def _may_fall_back_to_store(self, now: float) -> bool:
         """Return whether a follower may read from the store."""
--- a/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
@@ -77,7 +77,7 @@
 class FakeStore:
     """A store that refuses or does not notify some nodes; counts each node's calls.
 
-    Calls that arrive while `is_silent` are never answered.
+    Calls that arrive while `is_silent`, or of `unanswered_nodes`, are never answered.
     """
 
     value: int = 1
@@ -85,6 +85,7 @@
     is_silent: bool = False
     refused_nodes: set[str] = field(factory=set)
     silenced_nodes: set[str] = field(factory=set)
+    unanswered_nodes: set[str] = field(factory=set)
     calls: dict[str, int] = field(factory=dict)
     write_event: asyncio.Event = field(factory=asyncio.Event)
 
@@ -107,7 +108,7 @@
 
     async def _call(self):
         self.store.calls[self.name] = self.store.calls.get(self.name, 0) + 1
-        if self.store.is_silent:
+        if self.store.is_silent or self.name in self.store.unanswered_nodes:
             await asyncio.Event().wait()
         if self.name in self.store.refused_nodes:
             raise StoreUnavailable("refused by the store")
@@ -357,6 +358,23 @@
     run_scenario(scenario)
 
 
+def test_listing_without_an_answer_is_given_up_for_a_gateway_that_knows_more():
+    """Guards against a gateway that waits for a store that has fallen silent to it."""
+
+    async def scenario(store, nodes):
+        store.refused_nodes.update(node.name for node in nodes)
+        store.write(2)
+        await asyncio.sleep(2 * STORE_FALLBACK_DELAY_SECONDS)
+        store.unanswered_nodes.add(watching_nodes(nodes)[0].name)
+        await asyncio.sleep(STORE_FALLBACK_DELAY_SECONDS)
+        store.refused_nodes.clear()
+        store.write(3)
+        async with asyncio.timeout(CONTACT_SECONDS):
+            await wait_for_value(nodes, 3)
+
+    run_scenario(scenario)
+
+
 def test_followers_know_of_an_outage_before_the_changes_that_it_caused(monkeypatch):
     """Guards against servers dropped by followers as their entries lapsed."""
     monkeypatch.setattr(copycheck, "CALL_TIMEOUT_SECONDS", 0.1)
