Let two listings of a kind overlap

A listing that is cancelled may end after the next one of its kind has begun. Found while reading the change before: the second one to end failed with a KeyError, which would have ended the process. The test fails without this.

--- a/packages/gateway/eelgrassdale_gateway/sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/sharedsource.py
@@ -184,7 +184,8 @@
                 self._record_failure(kind, address, exc)
                 continue
             finally:
-                del self._asked_sources[kind]
+                # Two listings of a kind may overlap, as one is cancelled.
+                self._asked_sources.pop(kind, None)
             self._record_success(kind, address)
             if address is None:
                 self._cooldown_until.pop(None, None)
--- a/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
@@ -112,6 +112,7 @@
             await asyncio.Event().wait()
         if self.name in self.store.refused_nodes:
             raise StoreUnavailable("refused by the store")
+        await asyncio.sleep(0)
 
     async def list(self, kind):
         await self._call()
@@ -375,6 +376,22 @@
     run_scenario(scenario)
 
 
+def test_overlapping_listings_of_a_kind_both_end():
+    """Guards against a process that ends as one listing forgets what another asks."""
+
+    async def run():
+        source = SharedSource(
+            store=NodeStore(store=FakeStore(), name="n"),
+            topology=lambda: topology("n"),
+            known_revision=lambda kind: 0,
+            clock=SystemClock(),
+        )
+        listings = await asyncio.gather(*(source.list(KIND) for _ in range(2)))
+        return [listing.revision for listing in listings]
+
+    assert asyncio.run(run()) == [5, 5]
+
+
 def test_followers_know_of_an_outage_before_the_changes_that_it_caused(monkeypatch):
     """Guards against servers dropped by followers as their entries lapsed."""
     monkeypatch.setattr(copycheck, "CALL_TIMEOUT_SECONDS", 0.1)
