--- a/packages/gateway/eelgrassdale_gateway/tests/test_copycheck.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_copycheck.py
@@ -200,7 +200,9 @@
     run_scenario(scenario)
 
 
-def test_kinds_without_a_mirror_cost_one_reading_of_each_kind():
+def test_steps_of_kinds_without_a_mirror_cost_one_reading():
+    """Guards against checks that read a kind again although nothing has changed."""
+
     async def scenario(gateway):
         gateway.store.write("large", "c", step=5)
         await wait_until(lambda: "c" in gateway.names("large"))
@@ -213,6 +215,8 @@
 
 
 def test_check_behind_the_history_reads_the_whole_kind():
+    """Guards against a change that stays unknown as the store has dropped it."""
+
     async def scenario(gateway):
         gateway.store.reports_changes = gateway.store.has_history = False
         gateway.store.write("large", "c")
@@ -272,6 +276,8 @@
 
 @pytest.mark.usefixtures("short_timeouts")
 def test_changes_are_found_after_the_store_was_silent():
+    """Guards against checks that end, or wait for long, as the store is silent."""
+
     async def scenario(gateway):
         task = asyncio.ensure_future(gateway.check.run())
         gateway.store.is_silent = True
