Await a silent server of a stream that has not begun

Cause: a stream without a first event for 2.5 s was given up as soon as another place was found. Change: the next attempt runs beside the first one, as it does for a stream that has begun; the first valid event claims the stream. A final answer other than a stream ends the other attempt. Responses that are relayed whole are given up for another place as before. Result: test_late_first_response_is_not_given_up_for_a_server_that_refuses failed each time before; it passes now, with the other 154 tests of handovers, stalls, forwarding, cut and misbehaving responses.

--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -113,7 +113,7 @@
                 clock=self._clock, limit_seconds=self._silence_timeout(call)
             ),
             alternatives=observer.alternatives,
-            has_begun=lambda: call.exchange.is_started,
+            is_stream=call.admitted.route.is_stream,
             supersede_predecessor=observer.supersede_predecessor,
         )
         try:
@@ -213,6 +213,9 @@
         body = await read_body(call, conn, watch=watch)
         if head.status < 300 and not head.header(self._header_names.response_signature):
             return Lost(reason="success without a signature"), False
+        if head.status < 500 and not call.exchange.is_started:
+            # It is final, so that nothing is to be expected of another attempt.
+            await watch.claim()
         return Answered(head=head, body=body), True
 
     def _loop_time(self, at: float) -> float | None:
--- a/packages/gateway/eelgrassdale_gateway/stalls.py
+++ b/packages/gateway/eelgrassdale_gateway/stalls.py
@@ -1,9 +1,10 @@
 """Waits for a response that stalls, and for another backend server meanwhile.
 
-A sound server may be silent for a while and go on. So a response that has begun is
-given up only once another server has continued it: until then both are awaited, and
-the first one whose next event is valid is relayed. Without another place, or a retry,
-the response is awaited further: to cut it would serve nobody.
+A sound server may be silent for a while and go on. So a stream is given up only once
+another server has sent its next event: until then both are awaited, and the first one
+whose next event is valid is relayed. Without another place, or a retry, the response is
+awaited further: to cut it would serve nobody. Another response, which is relayed whole,
+is given up for another place.
 
 A continuation may stall as well and be continued itself. The attempt that relays an
 event claims the stream: it ends its own continuation, and, through the attempt that it
@@ -67,8 +68,8 @@
         Tells when the response has stalled.
     alternatives : Alternatives
         How to find and use another server.
-    has_begun : callable
-        Returns whether the caller has got the beginning of the response.
+    is_stream : bool
+        Whether the events of the response are relayed as they arrive.
     supersede_predecessor : callable, optional
         Ends the attempt that this one continues; None if it continues none.
     """
@@ -79,14 +80,14 @@
         conn: ClientConnection,
         timer: ProgressTimer,
         alternatives: Alternatives,
-        has_begun: Callable[[], bool],
+        is_stream: bool,
         supersede_predecessor: Callable[[], None] | None = None,
     ) -> None:
         self.timer = timer
         self.place: Place | None = None
         self._conn = conn
         self._alternatives = alternatives
-        self._has_begun = has_begun
+        self._is_stream = is_stream
         self._supersede_predecessor = supersede_predecessor
         self._seeking: asyncio.Task[Place | None] | None = None
         self._continuation: asyncio.Task[Outcome] | None = None
@@ -100,7 +101,7 @@
         Raises
         ------
         TimeoutError
-            If the response stalls before it has begun. `place` is another place for the
+            If a response that is no stream stalls. `place` is another place for the
             request, if there is one.
         ResponseSuperseded
             If the response stalls and another server has continued it.
@@ -184,7 +185,7 @@
     def _end_search(self, seeking: "asyncio.Task[Place | None]") -> None:
         self._seeking = None
         self.place = _result_of(seeking)
-        if not self._has_begun():
+        if not self._is_stream:
             raise TimeoutError
         if self.place is None:
             self.timer.extend(SEEK_INTERVAL_SECONDS)
