Put off chunks that no source has yet

Cause: an agent reads two chunks at a time, and each read waited for its chunk as long as no gateway had it. When the origin failed with 3 of 64 chunks missing, agents left up to half of the others for later. Change: a chunk without a source goes to the end of those that are missing, at agents and at the prefetch of gateways. Result: the new test failed before (time limit) and passes now.

--- a/packages/gateway/eelgrassdale_gateway/staging/fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/fetching.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import zlib
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Sequence
 
 import structlog
@@ -144,19 +144,23 @@
         """
         self._corrupt_copies.clear()
         order = chunk_order(self._name, chunks.manifest.count)
-        missing = iter([index for index in order if chunks.get(index) is None])
+        missing = deque(index for index in order if chunks.get(index) is None)
         async with asyncio.TaskGroup() as group:
             for _ in range(CONCURRENT_READS):
                 group.create_task(self._fetch_missing(chunks, missing, is_wanted))
         return chunks.is_complete
 
-    async def _fetch_missing(self, chunks, missing, is_wanted) -> None:
-        for index in missing:
-            while chunks.get(index) is None:
-                if not is_wanted() or self._corrupt_copies[index] >= MAX_CORRUPT_COPIES:
-                    return
-                if not await self._fetch_one(chunks, index):
-                    await asyncio.sleep(RETRY_DELAY_SECONDS)
+    async def _fetch_missing(
+        self, chunks: ChunkSet, missing: deque[int], is_wanted: Callable[[], bool]
+    ) -> None:
+        """Fetch chunks until none is missing; one without a source is put off."""
+        while missing:
+            index = missing.popleft()
+            if not is_wanted() or self._corrupt_copies[index] >= MAX_CORRUPT_COPIES:
+                return
+            if not await self._fetch_one(chunks, index):
+                missing.append(index)
+                await asyncio.sleep(RETRY_DELAY_SECONDS)
 
     async def _fetch_one(self, chunks: ChunkSet, index: int) -> bool:
         manifest = chunks.manifest
--- a/packages/gateway/eelgrassdale_gateway/staging/relay.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/relay.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable, Collection, Sequence
 from functools import lru_cache
 
@@ -162,8 +163,12 @@
         cancels it when the version is no longer wanted.
         """
         manifest_request = ChunkRequest(model=model, version=version)
-        for index in await self._owned_indexes(manifest_request):
-            while not await self._try_prefetch(evolve(manifest_request, index=index)):
+        missing = deque(await self._owned_indexes(manifest_request))
+        while missing:
+            index = missing.popleft()
+            if not await self._try_prefetch(evolve(manifest_request, index=index)):
+                # The origin or another gateway may have the other chunks.
+                missing.append(index)
                 await asyncio.sleep(PREFETCH_RETRY_DELAY_SECONDS)
 
     async def _owned_indexes(self, manifest_request: ChunkRequest) -> list[int]:
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/test_fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/test_fetching.py
@@ -46,18 +46,8 @@
     assert caught.value.subgroup(VersionGone) is not None
 
 
-def test_version_without_a_copy_does_not_keep_the_agent_from_another_one():
-    """Guards against gateways that are left alone for a version they cannot have yet.
-
-    While the origin was down, each read of the digests of the newest version stopped
-    the transfer of the one before it, which the gateways had, for 3 s.
-    """
-    chunks = ChunkSet(manifest=manifest_of("m", 2, weights(2)))
-
-    async def read(chunk_request):
-        if chunk_request.version != 2:
-            raise SourceUnavailable("the origin is down")
-        return weights(2)[chunk_request.index]
+def fetch_from_gateway(read, use):
+    """Return the result of `use` with a fetcher that has one gateway, which `read`s."""
 
     async def run():
         server = HttpServer(handler=WeightsServer(read=read).handle)
@@ -75,15 +65,56 @@
             link_bytes_per_second=0.0,
         )
         try:
-            with pytest.raises(SourceUnavailable):
-                await fetcher.manifest("m", 3)
-            async with asyncio.timeout(GATEWAY_COOLDOWN_SECONDS / 2):
-                return await fetcher.fetch(chunks, lambda: True)
+            return await use(fetcher)
         finally:
             server.stop_listening()
             server.abort_all()
 
-    assert asyncio.run(run()) is True
+    return asyncio.run(run())
+
+
+def test_version_without_a_copy_does_not_keep_the_agent_from_another_one():
+    """Guards against gateways that are left alone for a version they cannot have yet.
+
+    While the origin was down, each read of the digests of the newest version stopped
+    the transfer of the one before it, which the gateways had, for 3 s.
+    """
+    chunks = ChunkSet(manifest=manifest_of("m", 2, weights(2)))
+
+    async def read(chunk_request):
+        if chunk_request.version != 2:
+            raise SourceUnavailable("the origin is down")
+        return weights(2)[chunk_request.index]
+
+    async def use(fetcher):
+        with pytest.raises(SourceUnavailable):
+            await fetcher.manifest("m", 3)
+        async with asyncio.timeout(GATEWAY_COOLDOWN_SECONDS / 2):
+            return await fetcher.fetch(chunks, lambda: True)
+
+    assert fetch_from_gateway(read, use) is True
+
+
+def test_chunks_without_a_source_do_not_hold_up_the_others():
+    """Guards against concurrent reads that all wait for chunks nobody has yet.
+
+    The origin failed before the gateways had the last chunks of a version. Agents
+    read those that the gateways had only after its return.
+    """
+    data = weights(2)
+    chunks = ChunkSet(manifest=manifest_of("m", 2, data))
+    late = set(chunk_order("agent", len(data))[:CONCURRENT_READS])
+
+    async def read(chunk_request):
+        if chunk_request.index in late and chunks.count < len(data) - len(late):
+            raise SourceUnavailable("the origin is down")
+        return data[chunk_request.index]
+
+    async def use(fetcher):
+        async with asyncio.timeout(GATEWAY_COOLDOWN_SECONDS):
+            return await fetcher.fetch(chunks, lambda: True)
+
+    assert fetch_from_gateway(read, use) is True
 
 
 def test_owners_of_chunks_are_computed_once_for_all_chunks(monkeypatch):
