Order backend servers by load where a service has autoscaling

Cause: the number of backend servers of a service follows no load, so a lost data centre or a lasting jump is served by too few of them.

Change: the package `scaling` decides for each service and data centre how many servers it should have, as a pure function of a typed picture. The holder of the duty orders them through a callable that is passed in.

Nothing runs until `Gateway.scale_services` is called.

--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -149,6 +149,10 @@
         """Return the number of waiting requests."""
         return sum(len(queue) for queue in self._queues.values())
 
+    def waiting_by_service(self) -> dict[str, int]:
+        """Return the number of waiting requests of each service that has any."""
+        return {name: len(queue) for name, queue in self._queues.items() if queue}
+
     def dispatch_waiting(self) -> None:
         """Place the waiting requests that fit now; refuse those out of time."""
         for service in list(self._queues):
--- a/packages/gateway/eelgrassdale_gateway/messages.py
+++ b/packages/gateway/eelgrassdale_gateway/messages.py
@@ -28,6 +28,7 @@
 ServerLoad = _module.ServerLoad
 ServerNotice = _module.ServerNotice
 SoundNotice = _module.SoundNotice
+WaitingCount = _module.WaitingCount
 
 # Largest value of an `i32` field; the codec raises an error for more.
 MAX_INT32 = 2**31 - 1
--- a/packages/gateway/eelgrassdale_gateway/model.py
+++ b/packages/gateway/eelgrassdale_gateway/model.py
@@ -75,12 +75,25 @@
     region: str = ""
 
 
+@frozen(kw_only=True)
+class Autoscaling:
+    """Bounds of the number of a service's backend servers in each data centre.
+
+    `boot_seconds` is the time until an ordered server serves.
+    """
+
+    min_servers: int
+    max_servers: int
+    boot_seconds: float
+
+
 @frozen(kw_only=True)
 class Service:
     """A group of interchangeable backend servers.
 
     `cold_requests_per_second` is the highest rate of requests per second to one that
-    is still cold; 0 means no limit.
+    is still cold; 0 means no limit. With `autoscaling`, the number of its servers
+    follows its load.
     """
 
     name: str
@@ -88,6 +101,7 @@
     cold_requests_per_second: float = 0.0
     engine: EngineProfile | None = None
     origin: Origin | None = None
+    autoscaling: Autoscaling | None = None
 
 
 @frozen(kw_only=True)
--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -24,6 +24,7 @@
     PromptNotice,
     ServerLoad,
     ServerNotice,
+    WaitingCount,
     decode,
     encode,
 )
@@ -36,6 +37,7 @@
     Peer,
     PeerTable,
 )
+from eelgrassdale_gateway.scaling import Subject, WaitingRequests
 
 # Reported loads must be about as fresh as the time between two requests of a node.
 HEARTBEAT_INTERVAL_SECONDS = 0.15
@@ -70,6 +72,7 @@
         on_prompt_notice: Callable[[PromptNotice], None] = lambda _notice: None,
         on_advisory_notice: Callable[[AdvisoryNotice], None] = lambda _notice: None,
         on_new_process: Callable[[Address], None] = lambda _address: None,
+        waiting: WaitingRequests | None = None,
         seed: int | None = None,
     ) -> None:
         self.me = me
@@ -83,9 +86,12 @@
         self._loads = loads
         self._notices = notices
         self._on_notice = on_notice
+        self._waiting = waiting or WaitingRequests(
+            data_centre=me.data_centre, read_own=dict
+        )
         self._rng = Random(seed)
         self.table = PeerTable(
-            clock=clock, me=me, address=address, on_forget=loads.remove_peer
+            clock=clock, me=me, address=address, on_forget=self._forget
         )
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
@@ -112,6 +118,10 @@
         self.is_leaving = True
         self.send_heartbeats()
 
+    def _forget(self, name: str) -> None:
+        self._loads.remove_peer(name)
+        self._waiting.remove_peer(name)
+
     def addresses(self) -> list[Address]:
         """Return the addresses of all known gateways but this one."""
         return [peer.address for peer in self.table.all()]
@@ -138,7 +148,9 @@
         self.table.forget_expired()
         remote_interval = self._remote_interval()
         in_region_data = encode(
-            self._heartbeat(self._loads.own_loads(), with_loads=True)
+            self._heartbeat(
+                self._loads.own_loads(), with_loads=True, waiting=self._waiting.own()
+            )
         )
         remote_data = encode(self._remote_heartbeat(now, remote_interval))
         for position, peer in enumerate(self.table.all()):
@@ -177,7 +189,12 @@
         """Return a heartbeat for other regions, with the reports that are due."""
         is_first_reporter = interval == REPORT_INTERVAL_HEARTBEATS
         loads = self._data_centre_loads(now) if is_first_reporter else {}
-        heartbeat = self._heartbeat(loads, with_loads=is_first_reporter)
+        waiting = {}
+        if is_first_reporter:
+            waiting = self._waiting.combined(self._local_peer_names(), now=now)
+        heartbeat = self._heartbeat(
+            loads, with_loads=is_first_reporter, waiting=waiting
+        )
         if interval != DIRECT_INTERVAL_HEARTBEATS:
             heartbeat.live_members = self.table.reported_keys()
         return heartbeat
@@ -233,13 +250,27 @@
             load.server: Load(requests=load.requests, tokens=load.tokens)
             for load in heartbeat.loads
         }
-        self._loads.record_report(heartbeat.name, loads, now=self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._loads.record_report(heartbeat.name, loads, now=now)
+        waiting = {
+            Subject(
+                service=entry.service_name, data_centre=entry.data_centre
+            ): entry.requests
+            for entry in heartbeat.waiting or ()
+        }
+        self._waiting.record_report(heartbeat.name, waiting, now=now)
 
     def error_received(self, exc: Exception) -> None:
         """Ignore send errors: peers are judged by their heartbeats only."""
         log.debug("a datagram could not be delivered", error=repr(exc))
 
-    def _heartbeat(self, loads: Mapping[str, Load], *, with_loads: bool) -> Heartbeat:
+    def _heartbeat(
+        self,
+        loads: Mapping[str, Load],
+        *,
+        with_loads: bool,
+        waiting: Mapping[Subject, int],
+    ) -> Heartbeat:
         """Return a heartbeat; `with_loads` includes loads and revisions."""
         live = self.table.live()
         known = self._rng.sample(live, min(PEERS_PER_HEARTBEAT, len(live)))
@@ -270,7 +301,19 @@
                 KindRevision(kind=kind, revision=revision)
                 for kind, revision in (self._revisions().items() if with_loads else ())
             ],
+            waiting=_waiting_counts(waiting) or None,
+        )
+
+
+def _waiting_counts(waiting: Mapping[Subject, int]) -> list[WaitingCount]:
+    return [
+        WaitingCount(
+            service_name=subject.service,
+            data_centre=subject.data_centre,
+            requests=min(count, MAX_INT32),
         )
+        for subject, count in waiting.items()
+    ]
 
 
 def _node_info(heartbeat: Heartbeat) -> NodeInfo:
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -19,6 +19,13 @@
     2: i64 revision
 }
 
+// Requests that wait at gateways of a data centre for a service with autoscaling.
+struct WaitingCount {
+    1: string service_name
+    2: string data_centre
+    3: i32 requests
+}
+
 struct Heartbeat {
     1: string name
     2: i64 incarnation
@@ -33,6 +40,8 @@
     11: list<KindRevision> revisions
     // Keys of the live gateways of the sender's data centre, in reports to others.
     12: list<i32> live_members
+    // Absent while nothing waits, and where no service has autoscaling.
+    13: optional list<WaitingCount> waiting
 }
 
 // State of an engine, sent to gateways by the agent on its VM. `is_open` is false
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -33,6 +33,15 @@
 from eelgrassdale_gateway.quarantine.archive import ObjectStore
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.routingstate import RoutingState
+from eelgrassdale_gateway.scaling import (
+    FleetReader,
+    LateShares,
+    ScalingMetrics,
+    ScalingRunner,
+    WaitingRequests,
+    autoscaled_services,
+)
+from eelgrassdale_gateway.scaling.runner import OrderServers, Permit
 from eelgrassdale_gateway.serverlist import ServerList
 from eelgrassdale_gateway.sharedsource import LocalTopology, SharedSource
 from eelgrassdale_gateway.shares import GatewayGroup
@@ -90,6 +99,10 @@
             live_gateway_count=self._live_gateway_count,
             gateway_group=self._gateway_group,
         )
+        self._waiting = WaitingRequests(
+            data_centre=cfg.data_centre, read_own=self._autoscaled_waiting
+        )
+        self._scaling: ScalingRunner | None = None
         self.peers = Peers(
             clock=self._clock,
             me=NodeInfo(
@@ -107,6 +120,7 @@
             on_prompt_notice=lambda notice: self._quarantine_exchange.handle(notice),
             on_advisory_notice=lambda notice: self._advisory_exchange.handle(notice),
             on_new_process=self._on_new_gateway,
+            waiting=self._waiting,
         )
         self._advisory_exchange = AdvisoryExchange(
             clock=self._clock,
@@ -213,6 +227,36 @@
             clock=self._clock,
         )
 
+    def scale_services(
+        self,
+        *,
+        current_permit: Callable[[], Permit | None],
+        order_servers: OrderServers,
+    ) -> None:
+        """Order backend servers of services with autoscaling while permitted."""
+        late_shares = LateShares()
+        self.telemetry.on_placement = lambda service, is_late: late_shares.record(
+            service, is_late=is_late, now=self._clock.monotonic()
+        )
+        fleet = FleetReader(
+            clock=self._clock,
+            routing_state=self.routing_state,
+            loads=self.dispatcher.loads,
+            waiting=self._waiting,
+            late_shares=late_shares,
+            peers=self.peers.table.all,
+            list_silence_seconds=lambda: (
+                self._mirror_set.longest_silence_seconds() if self._mirror_set else 0.0
+            ),
+        )
+        self._scaling = ScalingRunner(
+            clock=self._clock,
+            read_fleet=fleet.read,
+            current_permit=current_permit,
+            order_servers=order_servers,
+            metrics=ScalingMetrics(self.telemetry.registry),
+        )
+
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Apply the settings that may change while the process runs.
 
@@ -291,6 +335,8 @@
             group.create_task(self._advisory_exchange.run())
             if self._archive is not None:
                 group.create_task(self._archive.run())
+            if self._scaling is not None:
+                group.create_task(self._scaling.run())
             if self._mirror_set is not None:
                 group.create_task(self._mirror_set.run())
 
@@ -354,6 +400,13 @@
         self._quarantine_exchange.send_states(address)
         self._advisory_exchange.send_all(address)
 
+    def _autoscaled_waiting(self) -> dict[str, int]:
+        services = autoscaled_services(self.routing_state)
+        if not services:
+            return {}
+        waiting = self.dispatcher.waiting_by_service()
+        return {name: waiting[name] for name in services.keys() & waiting.keys()}
+
     def _caller_limits(self) -> CallerLimits:
         table = self.routing_state.table
         return table.limits if table else CallerLimits()
--- a/packages/gateway/eelgrassdale_gateway/telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/telemetry.py
@@ -4,6 +4,8 @@
 the reason. The events are listed in docs/OPERATIONS.md.
 """
 
+from collections.abc import Callable
+
 import structlog
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
@@ -25,6 +27,8 @@
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry(auto_describe=False)
+        # Called with the service and whether the request is late; None if not needed.
+        self.on_placement: Callable[[str, bool], None] | None = None
         self._request_counter = Counter(
             "eelgrassdale_requests",
             "Requests that ended, by result code and service.",
@@ -53,6 +57,11 @@
         )
         self._gauges: dict[str, Gauge] = {}
 
+    @property
+    def registry(self) -> CollectorRegistry:
+        """Registry of the metrics, to which other components add theirs."""
+        return self._registry
+
     def gauge(self, name: str, description: str, read_value) -> None:
         """Add a gauge whose value `read_value` returns when metrics are scraped."""
         gauge = Gauge(f"eelgrassdale_{name}", description, registry=self._registry)
@@ -75,6 +84,8 @@
     ) -> None:
         """Log the placement of a request and observe its waiting time."""
         self._waiting_histogram.labels(admitted.service).observe(waited_seconds)
+        if self.on_placement is not None:
+            self.on_placement(admitted.service, is_late)
         log.info(
             "request placed",
             request=admitted.request_id,
--- a/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
@@ -16,6 +16,7 @@
     REMOTE_PEER_TIMEOUT_SECONDS,
     NodeInfo,
 )
+from eelgrassdale_gateway.scaling import Subject, WaitingRequests
 
 
 class FakeNetwork:
@@ -29,6 +30,10 @@
     def add(self, name, incarnation=1, region="n"):
         address = (name, 1)
         loads = LoadTracker()
+        waiting_here = {}
+        waiting = WaitingRequests(
+            data_centre=f"{region}1", read_own=lambda: waiting_here
+        )
         node = Peers(
             clock=self.clock,
             me=NodeInfo(
@@ -42,9 +47,11 @@
             loads=loads,
             notices=NoticeRegistry(),
             on_notice=lambda: None,
+            waiting=waiting,
             seed=len(self.nodes),
         )
         node.loads = loads
+        node.waiting_here, node.waiting = waiting_here, waiting
         node.transport = FakeTransport(self, address)
         node.connection_made(node.transport)
         self.nodes[address] = node
@@ -258,3 +265,28 @@
     assert not registry.record(notice(1, True), now=0.0)
     assert registry.is_closed(("h", 1), now=0.5)
     assert not registry.is_closed(("h", 1), now=5.0)
+
+
+def test_each_gateway_knows_the_waiting_requests_of_all_data_centres():
+    """Guards against a count that is missing, or sent both directly and in a report."""
+    wire = FakeNetwork()
+    nodes = [wire.add(f"{region}{i}", region=region) for region in "ns" for i in "123"]
+    for node in nodes[1:]:
+        node.table.add(nodes[0].table._address)
+    wire.run(rounds=40)
+    quiet_bytes = nodes[0].transport.sent[("n2", 1)]
+    wire.run(rounds=4)
+    quiet_bytes = nodes[0].transport.sent[("n2", 1)] - quiet_bytes
+    for node in nodes:
+        node.waiting_here["m"] = 2
+    wire.run(rounds=9)
+    expected = {Subject(service="m", data_centre=f"{region}1"): 6 for region in "ns"}
+    for node in nodes:
+        assert node.waiting.combined(now=wire.clock.monotonic()) == expected
+        node.waiting_here.clear()
+    wire.run(rounds=12)
+    sent = nodes[0].transport.sent[("n2", 1)]
+    wire.run(rounds=4)
+    # Nothing is sent where nothing waits, which includes services without autoscaling.
+    assert nodes[0].transport.sent[("n2", 1)] - sent == quiet_bytes
+    assert nodes[0].waiting.combined(now=wire.clock.monotonic()) == {}
