Treat a response with a status above 599 as a failed exchange

Cause: the HTTP parser takes any three digits from 200 on for a final status, so a gateway passed 600 and 999 on to callers of requests that may run only once, and after the last attempt also to others.

Change: the parser of responses refuses such a status with the typed error that 000 and 099 already had.

--- a/packages/core/eelgrassdale/http1/parsing.py
+++ b/packages/core/eelgrassdale/http1/parsing.py
@@ -15,6 +15,8 @@
 # Bytes of a body parsed at a time, which takes a few milliseconds at most.
 PIECE_BYTES = 8192
 MAX_HEADER_LINES = 256
+# The parser takes any three digits from 200 on for the status of a final response.
+MAX_STATUS = 599
 _HEAD_END = re.compile(rb"\n\r?\n")
 _PARTIAL_END_BYTES = 2
 # Only for these do the parser's patterns go through a run of blanks again and again.
@@ -110,6 +112,8 @@
         event = self._h11.next_event()
         while event is h11.NEED_DATA and self._pass_on():
             event = self._h11.next_event()
+        if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+            raise h11.RemoteProtocolError(f"invalid status {event.status_code}")
         self._prepare_for_body(event)
         return event
 
--- a/packages/core/eelgrassdale/http1/tests/test_client.py
+++ b/packages/core/eelgrassdale/http1/tests/test_client.py
@@ -85,10 +85,15 @@
         b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
         b"HTTP/1.1 200",
         b"no answer\r\n\r\n",
+        *(
+            b"HTTP/1.1 %b X\r\nContent-Length: 0\r\n\r\n" % status
+            for status in (b"000", b"099", b"600", b"999", b"abc", b"")
+        ),
+        b"HTTP/9.9 200 OK\r\nContent-Length: 0\r\n\r\n",
         b"",
     ],
 )
-def test_truncated_response_is_an_error(answer):
+def test_truncated_or_invalid_response_is_an_error(answer):
     async def client(address):
         with pytest.raises(ExchangeFailed):
             await send_and_read(address)
