Give one gateway the usage reports, by a lease in the store

No gateway reported usage to the cloud API. One of the first three live gateways by rank now holds a lease in the store, written conditionally on the revision that was read. All gateways count the attempts that begin to run by account and window and send the counts to the candidates; the holder records a window in the store, then sends it until it is accepted. The part exists only where the settings have a cloud API with a known duty.

--- a/packages/core/eelgrassdale/http1/client.py
+++ b/packages/core/eelgrassdale/http1/client.py
@@ -1,6 +1,8 @@
 """Client connections to one address, one request at a time on each."""
 
 import asyncio
+import socket
+import struct
 
 import h11
 
@@ -176,10 +178,19 @@
         """Return whether this side closed the connection."""
         return self._writer.is_closing()
 
-    def close(self) -> None:
-        """Close the connection immediately and discard unsent data."""
+    def close(self, *, reset: bool = False) -> None:
+        """Close the connection immediately and discard unsent data.
+
+        With `reset`, the operating system also discards what it has not delivered
+        yet. Otherwise it goes on sending that after a broken link has healed.
+        """
         self._receiver.cancel_read()
         transport = self._writer.transport
+        sock = transport.get_extra_info("socket")
+        if reset and sock is not None and not transport.is_closing():
+            sock.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
         transport.abort()
 
     async def _require_response_start(self) -> None:
--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -51,6 +51,7 @@
     """Functions that an attempt calls as its response proceeds.
 
     `on_head` is called for the head of a response that is not a refusal,
+    `on_plain_head` for one of them that begins no stream,
     `on_first_event` for the first event of a stream that is new to the caller,
     `on_advisory` for each head that the intended backend server sent. `progress` is
     updated as the response proceeds. `supersede_predecessor` is that of `StallWatch`.
@@ -61,6 +62,7 @@
     on_first_event: Callable[[], None]
     alternatives: Alternatives
     progress: AttemptProgress
+    on_plain_head: Callable[[], None] = lambda: None
     supersede_predecessor: Callable[[], None] | None = None
 
 
@@ -210,6 +212,7 @@
                 clock=self._clock,
                 on_first_event=observer.on_first_event,
             )
+        observer.on_plain_head()
         body = await read_body(call, conn, watch=watch)
         if head.status < 300 and not head.header(self._header_names.response_signature):
             return Lost(reason="success without a signature"), False
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -58,6 +58,8 @@
         server_ends: ServerEndDetector | None = None,
         seed: int | None = None,
     ) -> None:
+        # Called with the account of each attempt that begins to run, if it is set.
+        self.on_run: Callable[[str], None] | None = None
         self._telemetry = telemetry
         self._clock = clock
         self._routing_state = routing_state
@@ -194,9 +196,8 @@
                 AttemptObserver(
                     on_advisory=partial(self._on_advisory, call, server, now),
                     on_head=partial(self._on_response_start, call, in_flight),
-                    on_first_event=partial(
-                        self._quarantine.record_start, admitted.quarantine_parts
-                    ),
+                    on_first_event=partial(self._on_first_event, call),
+                    on_plain_head=partial(self._count_run, call),
                     alternatives=Alternatives(
                         seek_place=partial(self._retry_places.seek, call),
                         release_place=partial(self._retry_places.release, call),
@@ -260,6 +261,14 @@
                 request_id=call.admitted.request_id, server=server, statement=statement
             )
 
+    def _on_first_event(self, call: Call) -> None:
+        self._quarantine.record_start(call.admitted.quarantine_parts)
+        self._count_run(call)
+
+    def _count_run(self, call: Call) -> None:
+        if self.on_run is not None and call.admitted.account is not None:
+            self.on_run(call.admitted.account.name)
+
     def _on_response_start(self, call: Call, in_flight: InFlightRequest) -> None:
         self._dispatcher.record_response_start(in_flight)
         self._telemetry.record_response_start(
--- a/packages/gateway/eelgrassdale_gateway/messages.py
+++ b/packages/gateway/eelgrassdale_gateway/messages.py
@@ -12,9 +12,12 @@
     module_name="eelgrassdale_peers_thrift",
 )
 
+AccountCount = _module.AccountCount
 AdvisoryNotice = _module.AdvisoryNotice
+CountsNotice = _module.CountsNotice
 CrashNotice = _module.CrashNotice
 Datagram = _module.Datagram
+DutyNotice = _module.DutyNotice
 GatewayEntry = _module.GatewayEntry
 GatewayList = _module.GatewayList
 Heartbeat = _module.Heartbeat
@@ -28,6 +31,7 @@
 ServerLoad = _module.ServerLoad
 ServerNotice = _module.ServerNotice
 SoundNotice = _module.SoundNotice
+UsageRecordNotice = _module.UsageRecordNotice
 
 # Largest value of an `i32` field; the codec raises an error for more.
 MAX_INT32 = 2**31 - 1
@@ -51,6 +55,8 @@
         datagram = Datagram(prompt_notice=message)
     elif isinstance(message, AdvisoryNotice):
         datagram = Datagram(advisory_notice=message)
+    elif isinstance(message, DutyNotice):
+        datagram = Datagram(duty_notice=message)
     else:
         datagram = Datagram(notice=message)
     return encode_struct(datagram)
@@ -100,5 +106,7 @@
         return datagram.prompt_notice
     if datagram.advisory_notice is not None:
         return datagram.advisory_notice
+    if datagram.duty_notice is not None:
+        return datagram.duty_notice
     notice = datagram.notice
     return notice if notice is not None and notice.host else None
--- a/packages/gateway/eelgrassdale_gateway/objects.py
+++ b/packages/gateway/eelgrassdale_gateway/objects.py
@@ -64,6 +64,20 @@
     outage_seconds: float = 0.0
 
 
+@frozen(kw_only=True)
+class Written:
+    """A conditional write was done; `revision` is the new one of the object."""
+
+    revision: int
+
+
+@frozen(kw_only=True)
+class Conflict:
+    """A conditional write was refused; `current` is the object, None if absent."""
+
+    current: StoredObject | None
+
+
 class ObjectSource(Protocol):
     """Source of objects; methods may raise `StoreUnavailable`."""
 
--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -18,6 +18,7 @@
 from eelgrassdale_gateway.messages import (
     MAX_INT32,
     AdvisoryNotice,
+    DutyNotice,
     Heartbeat,
     KindRevision,
     PeerAddress,
@@ -69,6 +70,7 @@
         revisions: Callable[[], Mapping[str, int]] = dict,
         on_prompt_notice: Callable[[PromptNotice], None] = lambda _notice: None,
         on_advisory_notice: Callable[[AdvisoryNotice], None] = lambda _notice: None,
+        on_duty_notice: Callable[[DutyNotice], None] = lambda _notice: None,
         on_new_process: Callable[[Address], None] = lambda _address: None,
         seed: int | None = None,
     ) -> None:
@@ -76,6 +78,7 @@
         self._revisions = revisions
         self._on_prompt_notice = on_prompt_notice
         self._on_advisory_notice = on_advisory_notice
+        self._on_duty_notice = on_duty_notice
         self._on_new_process = on_new_process
         self.is_leaving = False
         self._clock = clock
@@ -198,6 +201,8 @@
             self._on_prompt_notice(message)
         elif isinstance(message, AdvisoryNotice):
             self._on_advisory_notice(message)
+        elif isinstance(message, DutyNotice):
+            self._on_duty_notice(message)
         else:
             self._handle_heartbeat(message, addr)
 
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -96,12 +96,46 @@
     1: list<ServerAdvisory> advisories
 }
 
+struct AccountCount {
+    1: string account
+    2: i64 count
+}
+
+// Requests that began to run in a window, as the sender counted them since its start.
+// Each entry replaces the earlier one of the same sender, incarnation and account.
+struct CountsNotice {
+    1: string sender
+    2: i64 incarnation
+    3: i64 window
+    4: list<AccountCount> counts
+    // Wall clock of the sender, and what it was when the sender began to count.
+    5: i64 sent_at_ms
+    6: i64 counting_since_ms
+}
+
+// A piece of the counts of a window as they are in the store; `account_count` is the
+// number of accounts in all pieces.
+struct UsageRecordNotice {
+    1: i64 window
+    2: i32 era
+    3: bool is_accepted
+    4: i32 account_count
+    5: list<AccountCount> counts
+}
+
+// Exactly one field is set.
+struct DutyNotice {
+    1: optional CountsNotice counts
+    2: optional UsageRecordNotice record
+}
+
 // Exactly one field is set.
 struct Datagram {
     1: optional Heartbeat heartbeat
     2: optional ServerNotice notice
     3: optional PromptNotice prompt_notice
     4: optional AdvisoryNotice advisory_notice
+    5: optional DutyNotice duty_notice
 }
 
 // `spec` and `status` are JSON, as in the platform's store.
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -19,9 +19,18 @@
 from eelgrassdale_gateway.attempts import AttemptRunner
 from eelgrassdale_gateway.copycheck import CopyCheck
 from eelgrassdale_gateway.dispatcher import Dispatcher
+from eelgrassdale_gateway.duties import (
+    Candidate,
+    Duties,
+    DutyKinds,
+    DutySettings,
+    DutyStore,
+    MakeCloudCalls,
+)
 from eelgrassdale_gateway.forwarding import Forwarder
 from eelgrassdale_gateway.gatewaysettings import GatewaySettings
 from eelgrassdale_gateway.headernames import HeaderNames
+from eelgrassdale_gateway.messages import DutyNotice
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.mirrorset import MirrorSet
 from eelgrassdale_gateway.model import BackendServer
@@ -106,6 +115,7 @@
             revisions=lambda: self._mirror_set.revisions() if self._mirror_set else {},
             on_prompt_notice=lambda notice: self._quarantine_exchange.handle(notice),
             on_advisory_notice=lambda notice: self._advisory_exchange.handle(notice),
+            on_duty_notice=self._on_duty_notice,
             on_new_process=self._on_new_gateway,
         )
         self._advisory_exchange = AdvisoryExchange(
@@ -161,6 +171,7 @@
         )
         self._mirror_set: MirrorSet | None = None
         self._archive: QuarantineArchive | None = None
+        self.duties: Duties | None = None
         self._objects = ObjectServer(
             change_logs=lambda: (
                 self._mirror_set.change_logs() if self._mirror_set else {}
@@ -213,6 +224,32 @@
             clock=self._clock,
         )
 
+    def take_duties(
+        self,
+        cfg: DutySettings,
+        *,
+        store: DutyStore,
+        kinds: DutyKinds,
+        make_cloud_calls: MakeCloudCalls,
+        era: Callable[[], int] = lambda: 0,
+    ) -> None:
+        """Be a candidate for the duties that one gateway has for all."""
+        self.duties = Duties(
+            cfg=cfg,
+            name=self.cfg.name,
+            incarnation=self.cfg.incarnation,
+            store=store,
+            kinds=kinds,
+            make_cloud_calls=make_cloud_calls,
+            live_gateways=self._duty_candidates,
+            send=self.peers.send,
+            clock=self._clock,
+            era=era,
+        )
+        self.duties.add_gauges(self.telemetry)
+        if self.duties.exchange is not None:
+            self.forwarder.on_run = self.duties.exchange.count
+
     def reconfigure(self, cfg: GatewaySettings) -> None:
         """Apply the settings that may change while the process runs.
 
@@ -293,6 +330,8 @@
                 group.create_task(self._archive.run())
             if self._mirror_set is not None:
                 group.create_task(self._mirror_set.run())
+            if self.duties is not None:
+                group.create_task(self.duties.run())
 
     async def stop(self) -> None:
         """Announce the shutdown, then serve until all requests ended or time is up."""
@@ -318,6 +357,8 @@
         await self.server.stop_listening_gracefully()
         while self.server.busy_connections and loop.time() < exit_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        if self.duties is not None:
+            self.duties.send_final_counts()
         log.info("stopped", handling=self.server.active_requests)
 
     def _add_gauges(self) -> None:
@@ -349,6 +390,27 @@
             ),
         )
 
+    def _on_duty_notice(self, notice: DutyNotice) -> None:
+        if self.duties is not None:
+            self.duties.handle_notice(notice)
+
+    def _duty_candidates(self) -> list[Candidate]:
+        """Return the live gateways, this one included unless it stops."""
+        me = Candidate(
+            name=self.cfg.name, incarnation=self.cfg.incarnation, address=None
+        )
+        return [
+            *([] if self.is_stopping else [me]),
+            *(
+                Candidate(
+                    name=peer.info.name,
+                    incarnation=peer.incarnation,
+                    address=peer.address,
+                )
+                for peer in self.peers.table.live()
+            ),
+        ]
+
     def _on_new_gateway(self, address: Address) -> None:
         """Tell a gateway that has just started what it cannot know yet."""
         self._quarantine_exchange.send_states(address)
