--- a/packages/gateway/eelgrassdale_gateway/duties/reporter.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/reporter.py
@@ -104,11 +104,6 @@
         while True:
             try:
                 seconds = await self.step()
-            except StoreUnavailable as exc:
-                log.warning("usage records: no answer of the store", reason=str(exc))
-                # What was written is read again.
-                self._loaded_token = None
-                seconds = STORE_RETRY_SECONDS
             except Exception:
                 # An error here must not end the gateway.
                 log.exception("error while reporting usage")
@@ -117,10 +112,16 @@
             await asyncio.sleep(seconds)
 
     async def step(self) -> float:
-        """Do one thing that is due; return the seconds until the next step.
+        """Do one thing that is due; return the seconds until the next step."""
+        try:
+            return await self._do_next()
+        except StoreUnavailable as exc:
+            log.warning("usage records: no answer of the store", reason=str(exc))
+            # What was written is read again.
+            self._loaded_token = None
+            return STORE_RETRY_SECONDS
 
-        Raises `StoreUnavailable`; the records must be read again after that.
-        """
+    async def _do_next(self) -> float:
         self._check_era()
         now = self._exchange.fleet_time.now()
         self._forget_old(now)
