--- a/packages/gateway/eelgrassdale_gateway/duties/fleettime.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/fleettime.py
@@ -4,12 +4,18 @@
 would report them before they end. Leases do not depend on it.
 """
 
+from collections import deque
 from collections.abc import Callable
 
 from eelgrassdale.clock import Clock
 
 # What a gateway said is used for this time.
 SAMPLE_SECONDS = 10.0
+# After a jump ahead of the own clock, the time before it counts for so long. Windows
+# are reported late meanwhile, but not early.
+OWN_SAMPLE_SECONDS = 15.0
+# Each received datagram asks for the time.
+CACHE_SECONDS = 0.2
 MAX_SAMPLES = 512
 
 
@@ -32,6 +38,9 @@
         self._unix_seconds = unix_seconds
         # By sender: the difference of its wall clock to the clock, and its age.
         self._samples: dict[str, tuple[float, float]] = {}
+        self._own_samples: deque[tuple[float, float]] = deque()
+        self._offset = 0.0
+        self._offset_at = float("-inf")
 
     def record(self, sender: str, sent_at: float) -> None:
         """Record what the wall clock of a sender shows; `sent_at` in seconds."""
@@ -42,11 +51,20 @@
     def now(self) -> float:
         """Return seconds since 1970; of two clocks the one that is behind."""
         now = self._clock.monotonic()
+        if now - self._offset_at > CACHE_SECONDS:
+            self._offset = self._median_offset(now)
+            self._offset_at = now
+        return now + self._offset
+
+    def _median_offset(self, now: float) -> float:
         self._samples = {
             sender: sample
             for sender, sample in self._samples.items()
             if now - sample[1] <= SAMPLE_SECONDS
         }
+        self._own_samples.append((self._unix_seconds() - now, now))
+        while now - self._own_samples[0][1] > OWN_SAMPLE_SECONDS:
+            self._own_samples.popleft()
         offsets = [offset for offset, _ in self._samples.values()]
-        offsets.append(self._unix_seconds() - now)
-        return now + sorted(offsets)[(len(offsets) - 1) // 2]
+        offsets.append(min(offset for offset, _ in self._own_samples))
+        return sorted(offsets)[(len(offsets) - 1) // 2]
--- a/packages/gateway/eelgrassdale_gateway/duties/reporter.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/reporter.py
@@ -82,6 +82,7 @@
         # Token of the lease under which the records in the store were read.
         self._loaded_token: int | None = None
         self._settled: set[int] = set()
+        self._attempts: dict[int, int] = {}
         self._unmarked: set[int] = set()
         self._old_objects: set[str] = set()
         self._backoff_seconds = FIRST_BACKOFF_SECONDS
@@ -229,10 +230,13 @@
         return None
 
     def _next_unsent(self, now: float) -> UsageRecord | None:
-        for record in self._sendable(now):
-            if record.is_stored(self._era()):
-                return record
-        return None
+        stored = [r for r in self._sendable(now) if r.is_stored(self._era())]
+        # A window that is refused again and again must not hold up the others.
+        return min(
+            stored,
+            key=lambda record: (self._attempts.get(record.window, 0), record.window),
+            default=None,
+        )
 
     def _sendable(self, now: float) -> list[UsageRecord]:
         seconds = self._cfg.window_seconds
@@ -249,6 +253,7 @@
         permit = self._current_permit()
         if permit is None or not record.is_stored(self._era()):
             return
+        self._attempts[record.window] = self._attempts.get(record.window, 0) + 1
         try:
             await self._cloud.report_usage(permit, record.window, record.counts)
         except CloudCallFailed as exc:
@@ -323,3 +328,4 @@
                 self._old_objects.add(str(record.window))
         self._book.drop_before(oldest)
         self._settled = {window for window in self._settled if window >= oldest}
+        self._attempts = {k: n for k, n in self._attempts.items() if k >= oldest}
