Wait for the counts of a gateway that is suspended or cut off

The holder closed each window 3 s after its end, so counts that a suspended gateway had not sent yet were missing: with nine gateways, more than the tolerance. Gateways now send one notice after the end of a window in which they counted, and the holder waits for it until 4 s before the report would be late. A gateway that is no candidate any more closes no window.

--- a/packages/gateway/eelgrassdale_gateway/duties/exchange.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/exchange.py
@@ -109,6 +109,7 @@
         self._candidates = candidates
         self._send = send
         self._sent: dict[tuple[int, str], _SentValue] = {}
+        self._last_ended = -1
         self._candidacy = _Candidacy()
         self._record_sends: dict[int, int] = {}
         self._partial: dict[tuple[int, int, int], dict[str, int]] = {}
@@ -192,6 +193,7 @@
                 window=window,
                 counts=_decode_counts(notice.counts),
                 counting_since=since,
+                sent_at=sent_at,
             ),
             current_window=self._current_window(),
         )
@@ -247,8 +249,22 @@
                     value.sends_left -= 1
                     changed.setdefault(window, {})[account] = count
         self._sent = sent
+        self._add_ended_window(changed)
         return changed
 
+    def _add_ended_window(self, changed: dict[int, dict[str, int]]) -> None:
+        """Send something after the end of a window, so that its counts are complete.
+
+        That is an empty notice if nothing of it has changed since.
+        """
+        ended = window_at(self._unix_seconds(), self._window_seconds) - 1
+        if ended == self._last_ended:
+            return
+        self._last_ended = ended
+        windows = self.own.windows()
+        if windows.get(ended) or windows.get(ended - 1):
+            changed.setdefault(ended, {})
+
     def update_own_counts(self) -> None:
         """Include the newest counts of this gateway in the table."""
         current_window = self._current_window()
@@ -261,6 +277,7 @@
                     window=window,
                     counts=counts,
                     counting_since=self.started_at,
+                    sent_at=self._unix_seconds(),
                 ),
                 current_window=current_window,
             )
--- a/packages/gateway/eelgrassdale_gateway/duties/reporter.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/reporter.py
@@ -27,6 +27,7 @@
     Coverage,
     Verdict,
     closed_windows,
+    latest_close,
     verdict,
 )
 from eelgrassdale_gateway.duties.settings import DutySettings
@@ -169,11 +170,23 @@
         self._loaded_token = permit.token
 
     def _next_without_record(self, now: float) -> int | None:
+        if self._exchange.candidate_since == float("inf"):
+            # Its counts no longer arrive; the next holder may have them.
+            return None
         for window in closed_windows(now, window_seconds=self._cfg.window_seconds):
-            if window not in self._settled and self._book.get(window) is None:
-                return window
+            if window in self._settled or self._book.get(window) is not None:
+                continue
+            return window if self._is_complete(window, now) else None
         return None
 
+    def _is_complete(self, window: int, now: float) -> bool:
+        """Return whether nothing more of a window is to be waited for."""
+        ends_at = (window + 1) * self._cfg.window_seconds
+        if now >= ends_at + latest_close(late_seconds=self._cfg.late_seconds):
+            return True
+        self._exchange.update_own_counts()
+        return not self._exchange.table.silent_senders(window, ends_at=ends_at)
+
     async def _close(self, window: int) -> None:
         """Create the record of a window if its counts are known."""
         exchange = self._exchange
--- a/packages/gateway/eelgrassdale_gateway/duties/reporting.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/reporting.py
@@ -9,6 +9,9 @@
 # A holder closes a window so long after its end, by the time of the fleet: the last
 # counts are sent three times, a second apart.
 CLOSE_SECONDS = 3.0
+# A window of which a gateway may still have counts is closed this long before the
+# report would be late. It leaves time for the report, and for some of a new holder.
+LATE_MARGIN_SECONDS = 4.0
 # A candidate gets the open counts of the others about this long after it became one.
 CANDIDACY_SECONDS = 1.0
 
@@ -50,6 +53,18 @@
     return range(max(0, end - KEPT_WINDOWS), end)
 
 
+def latest_close(*, late_seconds: float) -> float:
+    """Return how long after its end a window waits for a silent gateway.
+
+    Examples
+    --------
+    >>> latest_close(late_seconds=10.0), latest_close(late_seconds=2.0)
+    (6.0, 3.0)
+
+    """
+    return max(CLOSE_SECONDS, late_seconds - LATE_MARGIN_SECONDS)
+
+
 def verdict(window: int, coverage: Coverage, *, window_seconds: float) -> Verdict:
     """Return whether the counts of a window are complete and were never reported."""
     begins_at = window * window_seconds
--- a/packages/gateway/eelgrassdale_gateway/duties/tests/test_failures.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/tests/test_failures.py
@@ -313,3 +313,25 @@
         assert holder.name in [candidate.name for candidate in candidates]
 
     simulate(run())
+
+
+def test_counts_of_a_suspended_gateway_are_waited_for():
+    """Guards against reports that lack what a gateway had counted but not sent."""
+
+    async def run():
+        world = World()
+        holder = await world.start()
+        other = next(node for node in world.nodes.values() if node is not holder)
+        await next_window(world)
+        other.count("a")
+        window = await next_window(world)
+        other.is_peers_cut = True
+        other.count("a", 9)
+        await asyncio.sleep(3)
+        other.freeze(6.5)
+        other.is_peers_cut = False
+        assert await report_of(world, window) == {"a": 9}
+        ends_at = (window + 1) * world.cfg.window_seconds - EPOCH.timestamp()
+        assert world.accepted[window] - ends_at < world.cfg.late_seconds
+
+    simulate(run())
--- a/packages/gateway/eelgrassdale_gateway/duties/windows.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/windows.py
@@ -66,12 +66,16 @@
 
 @frozen(kw_only=True)
 class SenderCounts:
-    """Cumulative counts of one window as one gateway counted them."""
+    """Cumulative counts of one window as one gateway counted them.
+
+    `sent_at` and `counting_since` are seconds of the sender's wall clock.
+    """
 
     sender: Sender
     window: int
     counts: Counts
     counting_since: float
+    sent_at: float
 
 
 @define(kw_only=True)
@@ -92,6 +96,10 @@
     def __init__(self) -> None:
         self._windows: dict[int, _Window] = {}
         self._entry_count = 0
+        # By name: the newest incarnation, and when it sent its last counts.
+        self._last_sent: dict[str, tuple[int, float]] = {}
+        # Names of the senders that counted in a window, also if it was dropped.
+        self._names: dict[int, set[str]] = {}
 
     def record(self, message: SenderCounts, *, current_window: int) -> None:
         """Apply counts of a sender, unless their window is too far away."""
@@ -103,6 +111,7 @@
             window = self._windows[message.window] = _Window()
             self._drop_before(current_window - KEPT_WINDOWS)
         window.counting_since = min(window.counting_since, message.counting_since)
+        self._record_sender(message)
         known = window.counts.setdefault(message.sender, {})
         for account, count in message.counts.items():
             if account not in known:
@@ -131,6 +140,14 @@
         entry = self._windows.get(window)
         return entry is not None and entry.is_incomplete
 
+    def silent_senders(self, window: int, *, ends_at: float) -> set[str]:
+        """Return who counted in a window or the one before and may lack a last count.
+
+        Nothing that they sent after the end of the window has arrived.
+        """
+        names = self._names.get(window, set()) | self._names.get(window - 1, set())
+        return {name for name in names if self._last_sent[name][1] < ends_at}
+
     def drop(self, windows: Iterable[int]) -> None:
         """Drop windows whose sums are no longer needed."""
         for window in windows:
@@ -138,5 +155,15 @@
             if entry is not None:
                 self._entry_count -= sum(map(len, entry.counts.values()))
 
+    def _record_sender(self, message: SenderCounts) -> None:
+        name, incarnation = message.sender
+        if message.counts:
+            self._names.setdefault(message.window, set()).add(name)
+        last_sent = (incarnation, message.sent_at)
+        self._last_sent[name] = max(last_sent, self._last_sent.get(name, last_sent))
+
     def _drop_before(self, oldest: int) -> None:
+        self._names = {k: names for k, names in self._names.items() if k >= oldest}
+        kept = set().union(*self._names.values())
+        self._last_sent = {k: v for k, v in self._last_sent.items() if k in kept}
         self.drop([window for window in self._windows if window < oldest])
