Send the final counts of a window, and bound calls by the lease

A gateway now sends all counts of the last two ended windows, so that they arrive after an interruption. The time limit of a cloud call follows from the lease, and a failing store is logged once.

--- a/packages/gateway/eelgrassdale_gateway/duties/exchange.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/exchange.py
@@ -35,6 +35,9 @@
 SEND_SECONDS = 1.0
 # A value is sent so often after its last change, since datagrams may be lost.
 SENDS_PER_VALUE = 3
+# The final counts of a window are sent so far apart until the next one ends, so that
+# they arrive after an interruption of some seconds.
+FINAL_INTERVAL_SECONDS = 2.0
 # Records are rare and matter more.
 SENDS_PER_RECORD = 3
 # Fits into one packet with the fields that are not counts.
@@ -109,7 +112,7 @@
         self._candidates = candidates
         self._send = send
         self._sent: dict[tuple[int, str], _SentValue] = {}
-        self._last_ended = -1
+        self._last_final_turn = (-1, 0)
         self._candidacy = _Candidacy()
         self._record_sends: dict[int, int] = {}
         self._partial: dict[tuple[int, int, int], dict[str, int]] = {}
@@ -168,6 +171,11 @@
         for record in self.book.all():
             self.send_record(record)
 
+    def has_final_counts(self, window: int) -> bool:
+        """Return whether all that others counted in a window has arrived."""
+        self.update_own_counts()
+        return not self.table.silent_senders(window) - {self._name}
+
     def handle(self, notice: DutyNotice) -> None:
         """Apply a notice of another gateway; invalid ones are ignored."""
         try:
@@ -193,7 +201,7 @@
                 window=window,
                 counts=_decode_counts(notice.counts),
                 counting_since=since,
-                sent_at=sent_at,
+                is_final=sent_at >= (window + 1) * self._window_seconds,
             ),
             current_window=self._current_window(),
         )
@@ -249,21 +257,25 @@
                     value.sends_left -= 1
                     changed.setdefault(window, {})[account] = count
         self._sent = sent
-        self._add_ended_window(changed)
+        self._add_ended_windows(changed)
         return changed
 
-    def _add_ended_window(self, changed: dict[int, dict[str, int]]) -> None:
-        """Send something after the end of a window, so that its counts are complete.
+    def _add_ended_windows(self, changed: dict[int, dict[str, int]]) -> None:
+        """Add all counts of the last two windows that have ended, from time to time.
 
-        That is an empty notice if nothing of it has changed since.
+        They are final. An empty notice says that nothing was counted in a window.
         """
-        ended = window_at(self._unix_seconds(), self._window_seconds) - 1
-        if ended == self._last_ended:
+        now = self._unix_seconds()
+        ended = window_at(now, self._window_seconds) - 1
+        since_end = now - (ended + 1) * self._window_seconds
+        turn = (ended, int(since_end // FINAL_INTERVAL_SECONDS))
+        if turn == self._last_final_turn:
             return
-        self._last_ended = ended
+        self._last_final_turn = turn
         windows = self.own.windows()
-        if windows.get(ended) or windows.get(ended - 1):
-            changed.setdefault(ended, {})
+        for window in (ended - 1, ended):
+            if windows.get(window) or windows.get(window - 1):
+                changed[window] = dict(windows.get(window, {}))
 
     def update_own_counts(self) -> None:
         """Include the newest counts of this gateway in the table."""
@@ -277,7 +289,7 @@
                     window=window,
                     counts=counts,
                     counting_since=self.started_at,
-                    sent_at=self._unix_seconds(),
+                    is_final=False,
                 ),
                 current_window=current_window,
             )
--- a/packages/gateway/eelgrassdale_gateway/duties/leasekeeper.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/leasekeeper.py
@@ -69,6 +69,7 @@
         self._state = LeaseState(holder=holder, incarnation=incarnation, era=era())
         self._acquired_at: float | None = None
         self._logged_token = 0
+        self._is_store_failing = False
 
     def current_permit(self) -> DutyPermit | None:
         """Return the permit if the lease is valid now; call it before each call."""
@@ -116,13 +117,18 @@
                 case Read():
                     await self._read()
                 case Write(record=record, revision=revision):
-                    if not await self._write(record, revision):
+                    is_written = await self._write(record, revision)
+                    self._is_store_failing = False
+                    if not is_written:
                         return RETRY_SECONDS
         except StoreUnavailable as exc:
-            log.warning("lease of the duties: no answer of the store", reason=str(exc))
+            if not self._is_store_failing:
+                log.warning("duty lease: store does not answer", reason=str(exc)[:200])
+            self._is_store_failing = True
             return RETRY_SECONDS
         finally:
             self._check_era()
+        self._is_store_failing = False
         return 0.0
 
     async def _read(self) -> None:
--- a/packages/gateway/eelgrassdale_gateway/duties/reporter.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/reporter.py
@@ -88,6 +88,7 @@
         self._old_objects: set[str] = set()
         self._backoff_seconds = FIRST_BACKOFF_SECONDS
         self._retry_at = float("-inf")
+        self._is_store_failing = False
         self.reported_count = 0
         self.late_count = 0
         self.unknown_count = 0
@@ -116,9 +117,15 @@
     async def step(self) -> float:
         """Do one thing that is due; return the seconds until the next step."""
         try:
-            return await self._do_next()
+            seconds = await self._do_next()
+            self._is_store_failing = False
+            return seconds
         except StoreUnavailable as exc:
-            log.warning("usage records: no answer of the store", reason=str(exc))
+            if not self._is_store_failing:
+                log.warning(
+                    "usage records: store does not answer", reason=str(exc)[:200]
+                )
+            self._is_store_failing = True
             # What was written is read again.
             self._loaded_token = None
             return STORE_RETRY_SECONDS
@@ -184,8 +191,7 @@
         ends_at = (window + 1) * self._cfg.window_seconds
         if now >= ends_at + latest_close(late_seconds=self._cfg.late_seconds):
             return True
-        self._exchange.update_own_counts()
-        return not self._exchange.table.silent_senders(window, ends_at=ends_at)
+        return self._exchange.has_final_counts(window)
 
     async def _close(self, window: int) -> None:
         """Create the record of a window if its counts are known."""
--- a/packages/gateway/eelgrassdale_gateway/duties/settings.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/settings.py
@@ -47,3 +47,12 @@
     def store_call_seconds(self) -> float:
         """Time limit of a call for the lease, so that a lost one can be repeated."""
         return self.lease_seconds / 4
+
+    @property
+    def cloud_call_seconds(self) -> float:
+        """Time limit of a call of the cloud API after it was sent.
+
+        It is shorter than the time from the end of a lease to the earliest takeover,
+        so that no call of the old holder arrives after one of the new holder.
+        """
+        return min(1.0, self.lease_seconds / 3)
--- a/packages/gateway/eelgrassdale_gateway/duties/windows.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/windows.py
@@ -68,14 +68,15 @@
 class SenderCounts:
     """Cumulative counts of one window as one gateway counted them.
 
-    `sent_at` and `counting_since` are seconds of the sender's wall clock.
+    `counting_since` is in seconds of the sender's wall clock. They are final if they
+    were sent after the end of the window.
     """
 
     sender: Sender
     window: int
     counts: Counts
     counting_since: float
-    sent_at: float
+    is_final: bool
 
 
 @define(kw_only=True)
@@ -96,10 +97,10 @@
     def __init__(self) -> None:
         self._windows: dict[int, _Window] = {}
         self._entry_count = 0
-        # By name: the newest incarnation, and when it sent its last counts.
-        self._last_sent: dict[str, tuple[int, float]] = {}
-        # Names of the senders that counted in a window, also if it was dropped.
+        # Names of the senders that counted in a window, also if it was dropped, and
+        # of those whose final counts have arrived.
         self._names: dict[int, set[str]] = {}
+        self._final_names: dict[int, set[str]] = {}
 
     def record(self, message: SenderCounts, *, current_window: int) -> None:
         """Apply counts of a sender, unless their window is too far away."""
@@ -140,13 +141,10 @@
         entry = self._windows.get(window)
         return entry is not None and entry.is_incomplete
 
-    def silent_senders(self, window: int, *, ends_at: float) -> set[str]:
-        """Return who counted in a window or the one before and may lack a last count.
-
-        Nothing that they sent after the end of the window has arrived.
-        """
+    def silent_senders(self, window: int) -> set[str]:
+        """Return who counted in a window or the one before, and lacks final counts."""
         names = self._names.get(window, set()) | self._names.get(window - 1, set())
-        return {name for name in names if self._last_sent[name][1] < ends_at}
+        return names - self._final_names.get(window, set())
 
     def drop(self, windows: Iterable[int]) -> None:
         """Drop windows whose sums are no longer needed."""
@@ -156,14 +154,14 @@
                 self._entry_count -= sum(map(len, entry.counts.values()))
 
     def _record_sender(self, message: SenderCounts) -> None:
-        name, incarnation = message.sender
+        name = message.sender[0]
         if message.counts:
             self._names.setdefault(message.window, set()).add(name)
-        last_sent = (incarnation, message.sent_at)
-        self._last_sent[name] = max(last_sent, self._last_sent.get(name, last_sent))
+        if message.is_final:
+            self._final_names.setdefault(message.window, set()).add(name)
 
     def _drop_before(self, oldest: int) -> None:
-        self._names = {k: names for k, names in self._names.items() if k >= oldest}
-        kept = set().union(*self._names.values())
-        self._last_sent = {k: v for k, v in self._last_sent.items() if k in kept}
+        for names in (self._names, self._final_names):
+            for window in [window for window in names if window < oldest]:
+                del names[window]
         self.drop([window for window in self._windows if window < oldest])
