Leave the duties to others if the cloud API is out of reach

A holder that alone could not reach the cloud API kept the lease, and its windows were lost after 60 s. The random runs cut this link as well.

--- a/packages/gateway/eelgrassdale_gateway/duties/duties.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/duties.py
@@ -10,6 +10,7 @@
 from eelgrassdale_gateway.duties.exchange import Address, Candidate, CountExchange
 from eelgrassdale_gateway.duties.lease import DutyPermit
 from eelgrassdale_gateway.duties.leasekeeper import LeaseKeeper
+from eelgrassdale_gateway.duties.reachability import WatchedCalls
 from eelgrassdale_gateway.duties.reporter import UsageReporter
 from eelgrassdale_gateway.duties.settings import MAX_CANDIDATES, DutySettings
 from eelgrassdale_gateway.messages import DutyNotice
@@ -56,10 +57,14 @@
             holder=name,
             incarnation=incarnation,
             clock=clock,
-            is_candidate=self.is_candidate,
+            is_candidate=self._may_hold_lease,
             era=era,
         )
-        self.cloud_calls = make_cloud_calls(self.keeper.current_permit)
+        self.cloud_calls = WatchedCalls(
+            calls=make_cloud_calls(self.keeper.current_permit),
+            current_permit=self.keeper.current_permit,
+            clock=clock,
+        )
         self.exchange: CountExchange | None = None
         self.reporter: UsageReporter | None = None
         if cfg.reports_usage:
@@ -93,10 +98,6 @@
         order = rendezvous_order(key=RANK_KEY, members=gateways)
         return [gateways[name] for name in order[:MAX_CANDIDATES]]
 
-    def is_candidate(self) -> bool:
-        """Return whether this gateway may hold the lease."""
-        return any(candidate.address is None for candidate in self.candidates())
-
     def on_new_era(self, old: int, new: int) -> None:
         """Apply a restoration of the store to all parts."""
         self.keeper.on_new_era(old, new)
@@ -157,6 +158,10 @@
             lambda: reporter.unknown_count,
         )
 
+    def _may_hold_lease(self) -> bool:
+        is_candidate = any(gateway.address is None for gateway in self.candidates())
+        return is_candidate and not self.cloud_calls.has_stepped_back()
+
     def _token(self) -> int:
         permit = self.current_permit()
         return permit.token if permit else 0
--- a/packages/gateway/eelgrassdale_gateway/duties/tests/simulation.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/tests/simulation.py
@@ -137,7 +137,7 @@
         self.era = 0
         self.wall_offset = 0.0
         self.resumed_at = float("-inf")
-        self.is_store_cut = self.is_peers_cut = False
+        self.is_store_cut = self.is_peers_cut = self.is_cloud_cut = False
         self.lost_requests = self.lost_answers = 0
         self.freeze_before_arrival = 0.0
         self._incarnation = 0
@@ -244,12 +244,15 @@
     async def report_usage(self, permit, window, counts):
         await self._call_cloud(permit, window, dict(counts))
 
+    async def order_servers(self, permit, service, data_centre, count):
+        await self._call_cloud(permit, None, {})
+
     async def _order(self):
         """Call as often as the orders of servers may, which need no store."""
         permit = self.duties.current_permit()
         if permit is not None:
             with contextlib.suppress(CloudCallFailed):
-                await self._call_cloud(permit, None, {})
+                await self.duties.cloud_calls.order_servers(permit, "s", "d", 1)
         return 0.2
 
     async def _call_cloud(self, permit, window, counts):
@@ -261,6 +264,9 @@
             self.freeze_before_arrival = 0.0
             await self._running.wait()
         world = self.world
+        if self.is_cloud_cut:
+            await asyncio.sleep(1.0)
+            raise CloudCallFailed(None, True)
         await asyncio.sleep(world.rng.uniform(*world.latency))
         is_exempt = world.now - self.resumed_at < world.cfg.thaw_seconds
         arrival = (world.now, self.name, permit.token, window, counts, is_exempt)
--- a/packages/gateway/eelgrassdale_gateway/duties/tests/test_failures.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/tests/test_failures.py
@@ -337,3 +337,21 @@
         assert world.accepted[window] - ends_at < world.cfg.late_seconds
 
     simulate(run())
+
+
+def test_holder_that_cannot_reach_the_cloud_api_leaves_the_duties_to_others():
+    """Guards against duties that rest while another gateway could do them."""
+
+    async def run():
+        world = World()
+        holder = await world.start()
+        window = await next_window(world)
+        holder.count("a")
+        holder.is_cloud_cut = True
+        successor = await world.next_holder(holder)
+        assert await report_of(world, window) == {"a": 1}
+        assert successor.duties.current_permit().token == 2
+        await asyncio.sleep(40)
+        world.check_invariants()
+
+    simulate(run())
--- a/packages/gateway/eelgrassdale_gateway/duties/tests/test_random_runs.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/tests/test_random_runs.py
@@ -19,7 +19,7 @@
         await asyncio.sleep(rng.uniform(1, 5))
         copies = [*copies[-2:], world.copy_of_store()]
         node = rng.choice(list(world.nodes.values()))
-        match rng.randrange(9):
+        match rng.randrange(10):
             case 0:
                 node.freeze(rng.uniform(0.5, 9))
             case 1:
@@ -38,6 +38,8 @@
                 world.restore(rng.choice(copies))
             case 8:
                 node.wall_offset = rng.uniform(-4, 4)
+            case 9:
+                node.is_cloud_cut = not node.is_cloud_cut
 
 
 async def run(seed):
@@ -58,7 +60,7 @@
     await disturb(world)
     world.loss = 0.0
     for node in world.nodes.values():
-        node.is_store_cut = node.is_peers_cut = False
+        node.is_store_cut = node.is_peers_cut = node.is_cloud_cut = False
         node.wall_offset = 0.0
         if node.duties is None:
             node.start()
