--- a/packages/gateway/eelgrassdale_gateway/duties/leasekeeper.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/leasekeeper.py
@@ -30,6 +30,9 @@
 # Interval between calls while the store fails; each one has a price.
 RETRY_SECONDS = 0.5
 MIN_STEP_SECONDS = 0.01
+# A gateway that has just started knows few others, and each one would be among the
+# first three; heartbeats of all peers arrive within this time.
+START_SECONDS = 2.0
 MAX_TOKEN = 2**63 - 1
 
 log = structlog.get_logger(__name__)
@@ -69,6 +72,7 @@
         self._state = LeaseState(holder=holder, incarnation=incarnation, era=era())
         self._acquired_at: float | None = None
         self._logged_token = 0
+        self._is_store_failing = False
 
     def current_permit(self) -> DutyPermit | None:
         """Return the permit if the lease is valid now; call it before each call."""
@@ -92,6 +96,7 @@
 
     async def run(self) -> None:
         """Keep the lease until cancelled."""
+        await asyncio.sleep(START_SECONDS)
         while True:
             try:
                 seconds = await self.step()
@@ -116,13 +121,18 @@
                 case Read():
                     await self._read()
                 case Write(record=record, revision=revision):
-                    if not await self._write(record, revision):
+                    is_written = await self._write(record, revision)
+                    self._is_store_failing = False
+                    if not is_written:
                         return RETRY_SECONDS
         except StoreUnavailable as exc:
-            log.warning("lease of the duties: no answer of the store", reason=str(exc))
+            if not self._is_store_failing:
+                log.warning("duty lease: store does not answer", reason=str(exc)[:200])
+            self._is_store_failing = True
             return RETRY_SECONDS
         finally:
             self._check_era()
+        self._is_store_failing = False
         return 0.0
 
     async def _read(self) -> None:
--- a/packages/gateway/eelgrassdale_gateway/duties/reporter.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/reporter.py
@@ -27,6 +27,7 @@
     Coverage,
     Verdict,
     closed_windows,
+    latest_close,
     verdict,
 )
 from eelgrassdale_gateway.duties.settings import DutySettings
@@ -82,10 +83,12 @@
         # Token of the lease under which the records in the store were read.
         self._loaded_token: int | None = None
         self._settled: set[int] = set()
+        self._attempts: dict[int, int] = {}
         self._unmarked: set[int] = set()
         self._old_objects: set[str] = set()
         self._backoff_seconds = FIRST_BACKOFF_SECONDS
         self._retry_at = float("-inf")
+        self._is_store_failing = False
         self.reported_count = 0
         self.late_count = 0
         self.unknown_count = 0
@@ -104,11 +107,6 @@
         while True:
             try:
                 seconds = await self.step()
-            except StoreUnavailable as exc:
-                log.warning("usage records: no answer of the store", reason=str(exc))
-                # What was written is read again.
-                self._loaded_token = None
-                seconds = STORE_RETRY_SECONDS
             except Exception:
                 # An error here must not end the gateway.
                 log.exception("error while reporting usage")
@@ -117,10 +115,22 @@
             await asyncio.sleep(seconds)
 
     async def step(self) -> float:
-        """Do one thing that is due; return the seconds until the next step.
+        """Do one thing that is due; return the seconds until the next step."""
+        try:
+            seconds = await self._do_next()
+            self._is_store_failing = False
+            return seconds
+        except StoreUnavailable as exc:
+            if not self._is_store_failing:
+                log.warning(
+                    "usage records: store does not answer", reason=str(exc)[:200]
+                )
+            self._is_store_failing = True
+            # What was written is read again.
+            self._loaded_token = None
+            return STORE_RETRY_SECONDS
 
-        Raises `StoreUnavailable`; the records must be read again after that.
-        """
+    async def _do_next(self) -> float:
         self._check_era()
         now = self._exchange.fleet_time.now()
         self._forget_old(now)
@@ -135,7 +145,7 @@
         if window is not None:
             await self._close(window)
             return 0.0
-        record = self._next_unstored(now)
+        record = self._next_unstored()
         if record is not None:
             await self._store_record(record)
             return 0.0
@@ -167,11 +177,22 @@
         self._loaded_token = permit.token
 
     def _next_without_record(self, now: float) -> int | None:
+        if self._exchange.candidate_since == float("inf"):
+            # Its counts no longer arrive; the next holder may have them.
+            return None
         for window in closed_windows(now, window_seconds=self._cfg.window_seconds):
-            if window not in self._settled and self._book.get(window) is None:
-                return window
+            if window in self._settled or self._book.get(window) is not None:
+                continue
+            return window if self._is_complete(window, now) else None
         return None
 
+    def _is_complete(self, window: int, now: float) -> bool:
+        """Return whether nothing more of a window is to be waited for."""
+        ends_at = (window + 1) * self._cfg.window_seconds
+        if now >= ends_at + latest_close(late_seconds=self._cfg.late_seconds):
+            return True
+        return self._exchange.has_final_counts(window)
+
     async def _close(self, window: int) -> None:
         """Create the record of a window if its counts are known."""
         exchange = self._exchange
@@ -220,18 +241,25 @@
         self._book.merge(stored)
         self._exchange.table.drop([record.window])
 
-    def _next_unstored(self, now: float) -> UsageRecord | None:
-        """Return a record that the store of this era may lack and that is due."""
-        for record in self._sendable(now):
-            if not record.is_stored(self._era()):
+    def _next_unstored(self) -> UsageRecord | None:
+        """Return a record that the store of this era may lack, also an accepted one.
+
+        Its window must not be reported again by a gateway that does not know it.
+        """
+        for record in self._book.all():
+            is_sound = record.window not in self._book.conflicts
+            if is_sound and not record.is_stored(self._era()):
                 return record
         return None
 
     def _next_unsent(self, now: float) -> UsageRecord | None:
-        for record in self._sendable(now):
-            if record.is_stored(self._era()):
-                return record
-        return None
+        stored = [r for r in self._sendable(now) if r.is_stored(self._era())]
+        # A window that is refused again and again must not hold up the others.
+        return min(
+            stored,
+            key=lambda record: (self._attempts.get(record.window, 0), record.window),
+            default=None,
+        )
 
     def _sendable(self, now: float) -> list[UsageRecord]:
         seconds = self._cfg.window_seconds
@@ -248,6 +276,7 @@
         permit = self._current_permit()
         if permit is None or not record.is_stored(self._era()):
             return
+        self._attempts[record.window] = self._attempts.get(record.window, 0) + 1
         try:
             await self._cloud.report_usage(permit, record.window, record.counts)
         except CloudCallFailed as exc:
@@ -322,3 +351,4 @@
                 self._old_objects.add(str(record.window))
         self._book.drop_before(oldest)
         self._settled = {window for window in self._settled if window >= oldest}
+        self._attempts = {k: n for k, n in self._attempts.items() if k >= oldest}
--- a/packages/gateway/eelgrassdale_gateway/duties/windows.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/windows.py
@@ -66,12 +66,17 @@
 
 @frozen(kw_only=True)
 class SenderCounts:
-    """Cumulative counts of one window as one gateway counted them."""
+    """Cumulative counts of one window as one gateway counted them.
+
+    `counting_since` is in seconds of the sender's wall clock. They are final if they
+    were sent after the end of the window.
+    """
 
     sender: Sender
     window: int
     counts: Counts
     counting_since: float
+    is_final: bool
 
 
 @define(kw_only=True)
@@ -92,6 +97,10 @@
     def __init__(self) -> None:
         self._windows: dict[int, _Window] = {}
         self._entry_count = 0
+        # Names of the senders that counted in a window, also if it was dropped, and
+        # of those whose final counts have arrived.
+        self._names: dict[int, set[str]] = {}
+        self._final_names: dict[int, set[str]] = {}
 
     def record(self, message: SenderCounts, *, current_window: int) -> None:
         """Apply counts of a sender, unless their window is too far away."""
@@ -103,6 +112,7 @@
             window = self._windows[message.window] = _Window()
             self._drop_before(current_window - KEPT_WINDOWS)
         window.counting_since = min(window.counting_since, message.counting_since)
+        self._record_sender(message)
         known = window.counts.setdefault(message.sender, {})
         for account, count in message.counts.items():
             if account not in known:
@@ -131,6 +141,11 @@
         entry = self._windows.get(window)
         return entry is not None and entry.is_incomplete
 
+    def silent_senders(self, window: int) -> set[str]:
+        """Return who counted in a window or the one before, and lacks final counts."""
+        names = self._names.get(window, set()) | self._names.get(window - 1, set())
+        return names - self._final_names.get(window, set())
+
     def drop(self, windows: Iterable[int]) -> None:
         """Drop windows whose sums are no longer needed."""
         for window in windows:
@@ -138,5 +153,15 @@
             if entry is not None:
                 self._entry_count -= sum(map(len, entry.counts.values()))
 
+    def _record_sender(self, message: SenderCounts) -> None:
+        name = message.sender[0]
+        if message.counts:
+            self._names.setdefault(message.window, set()).add(name)
+        if message.is_final:
+            self._final_names.setdefault(message.window, set()).add(name)
+
     def _drop_before(self, oldest: int) -> None:
+        for names in (self._names, self._final_names):
+            for window in [window for window in names if window < oldest]:
+                del names[window]
         self.drop([window for window in self._windows if window < oldest])
