Accept only valid response heads in agents and platform clients

Cause: `http.client` takes any number from 100 to 999 for a status, also "+200", an interim response other than 100 for the final one, and ignores what follows a malformed header line. An agent passed a status of 600 or 103 of a plain service on as a whole response, and an entry node sent it to the caller.

Change: `validresponses` has connections of urllib3 that refuse such heads and skip interim responses. Agents, the object store, the VM list and the weight sources use them. An entry node refuses an answer whose status is none of a final response. Listings of odd objects and versions of many digits are failed calls, not errors.

--- a/packages/agent/eelgrassdale_agent/backend.py
+++ b/packages/agent/eelgrassdale_agent/backend.py
@@ -9,14 +9,13 @@
 import http.client
 import json
 import socket
-from io import BufferedReader
 from urllib.parse import urlsplit
 
-from urllib3.connection import HTTPConnection
 from urllib3.exceptions import HTTPError
 from urllib3.response import BaseHTTPResponse, HTTPResponse
 
 from eelgrassdale.results import ResultCode
+from eelgrassdale.validresponses import ValidatingConnection
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 # An error body is truncated to this length in the detail of a result.
@@ -41,46 +40,6 @@
         self.is_connection_lost = is_connection_lost
 
 
-class _LineReader:
-    """Reads lines of a response's head and remembers whether one was incomplete."""
-
-    def __init__(self, *, reader: BufferedReader) -> None:
-        self._reader = reader
-        self.is_cut = False
-
-    def readline(self, limit: int = -1) -> bytes:
-        line = self._reader.readline(limit)
-        self.is_cut = not line.endswith(b"\n")
-        return line
-
-    def close(self) -> None:
-        self._reader.close()
-
-
-class _Response(http.client.HTTPResponse):
-    """A response whose head must be complete.
-
-    `http.client` takes the end of the connection for the end of the head, and would
-    return a success without headers, with an empty or short body.
-    """
-
-    def begin(self) -> None:
-        reader = self.fp
-        self.fp = lines = _LineReader(reader=reader)
-        try:
-            super().begin()
-        finally:
-            # None if the response has already ended.
-            if self.fp is lines:
-                self.fp = reader
-        if lines.is_cut:
-            raise http.client.IncompleteRead(b"")
-
-
-class _Connection(HTTPConnection):
-    response_class = _Response
-
-
 class Exchange:
     """One request on one new connection.
 
@@ -95,7 +54,7 @@
     def __init__(self, *, url: str, timeout_seconds: float) -> None:
         parts = urlsplit(url)
         self._path_prefix = parts.path.rstrip("/")
-        self._conn = _Connection(
+        self._conn = ValidatingConnection(
             parts.hostname, parts.port or 80, timeout=CONNECT_TIMEOUT_SECONDS
         )
         self._timeout_seconds = timeout_seconds
--- a/packages/agent/eelgrassdale_agent/engine.py
+++ b/packages/agent/eelgrassdale_agent/engine.py
@@ -3,7 +3,6 @@
 import json
 from collections.abc import Iterator
 
-import urllib3
 from attrs import frozen
 from urllib3.exceptions import NewConnectionError, ProtocolError
 from urllib3.exceptions import TimeoutError as HTTPTimeoutError
@@ -12,6 +11,7 @@
 from eelgrassdale.admission.events import EngineReported
 from eelgrassdale.results import ResultCode
 from eelgrassdale.telemetry.traces import TRACEPARENT
+from eelgrassdale.validresponses import pool_manager
 from eelgrassdale_agent.answers import PIECE_BYTES
 from eelgrassdale_agent.backend import (
     EXCHANGE_ERRORS,
@@ -113,7 +113,7 @@
 
     def __init__(self, *, url: str) -> None:
         self._url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(
+        self._pool = pool_manager(
             maxsize=2, retries=False, timeout=CONTROL_TIMEOUT_SECONDS
         )
 
--- a/packages/agent/eelgrassdale_agent/orders.py
+++ b/packages/agent/eelgrassdale_agent/orders.py
@@ -8,6 +8,7 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.results import ResultCode, ResultError
+from eelgrassdale.validresponses import pool_manager
 from eelgrassdale_agent.backend import read_bounded
 
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -62,9 +63,7 @@
         self._incarnation = ""
         self._last_load: EngineState | None = None
         self._loaded_at = 0.0
-        self._pool = urllib3.PoolManager(
-            num_pools=1, maxsize=connections, retries=False
-        )
+        self._pool = pool_manager(num_pools=1, maxsize=connections, retries=False)
 
     def state(self) -> Result[EngineState, ResultError]:
         """Return what the engine has loaded.
--- a/packages/agent/eelgrassdale_agent/tests/test_backend.py
+++ b/packages/agent/eelgrassdale_agent/tests/test_backend.py
@@ -69,6 +69,43 @@
     assert call(interim + HEAD + b"whole") == (200, b"whole")
 
 
+INVALID_HEADS = [
+    *(b"HTTP/1.1 %b X" % status for status in (b"000", b"099", b"600", b"999")),
+    *(b"HTTP/1.1 %b X" % status for status in (b"abc", b"+200", b"2_00", b"")),
+    b"HTTP/1.1",
+    b"HTTP/9.9 200 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/1.x 200 OK",
+    b"garbage",
+    b"HTTP/1.1 101 Switching Protocols",
+    b"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 X",
+    17 * b"HTTP/1.1 102 Processing\r\n\r\n" + b"HTTP/1.1 200 OK",
+    b"HTTP/1.1 200 OK\r\nno colon",
+    b"HTTP/1.1 200 OK\r\nContent-Length: -1",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip",
+]
+
+
+@pytest.mark.parametrize("head", INVALID_HEADS)
+def test_response_without_a_valid_head_is_no_response(head):
+    """Guards against passing it on, as whole, to the caller of a plain service."""
+    data = head + b"\r\nContent-Length: 5\r\n\r\nwhole"
+    with pytest.raises(BackendError) as caught:
+        call(data)
+    assert caught.value.code is ResultCode.BACKEND_FAILED
+    with server_that_sends(data) as url, pytest.raises(BackendError):
+        EngineClient(url=url).load_report(now=0.0)
+    with server_that_sends(data) as url:
+        client = EngineWeightsClient(backend_url=url, clock=SystemClock())
+        assert client.stage_chunk("m", 0, b"data").is_error()
+
+
+def test_interim_responses_are_skipped():
+    """Guards against 103, with an empty body, as the response."""
+    interim = 16 * b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+    assert call(interim + HEAD + b"whole") == (200, b"whole")
+
+
 # Above the longest answer that is kept, with the buffers of both ends.
 MAX_SENT_BYTES = 24_000_000
 
--- a/packages/core/eelgrassdale/platform/objects.py
+++ b/packages/core/eelgrassdale/platform/objects.py
@@ -17,6 +17,7 @@
 from eelgrassdale.platform.budget import CallRateLimiter, backoff_seconds
 from eelgrassdale.results import ResultCode, ResultError
 from eelgrassdale.telemetry import Metrics
+from eelgrassdale.validresponses import pool_manager
 
 CALL_TIMEOUT_SECONDS = 2.0
 # Time beyond the requested wait within which a watch call must return.
@@ -25,6 +26,8 @@
 CALLS_PER_SECOND = 50.0
 CALL_BURST = 200
 MAX_VALUE_BYTES = 1_000_000
+# Longer numbers are not versions that a store counts up.
+MAX_VERSION_DIGITS = 18
 STORE_CALLS = "store_calls"
 RETRIED_STATUSES = (429, 500, 502, 503, 504)
 
@@ -71,7 +74,7 @@
         )
         # Not seeded: the jitter of the back-off need not be reproducible.
         self._rng = random.Random()
-        self._pool = urllib3.PoolManager(retries=False, maxsize=4)
+        self._pool = pool_manager(retries=False, maxsize=4)
 
     def get(self, name: str) -> Result[ObjectValue | None, ResultError]:
         """Return the object, or None if there is none with this name."""
@@ -121,9 +124,18 @@
             return Error(result.error)
         try:
             items = json.loads(result.ok.body)["objects"]
-        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            names = [item["name"] if isinstance(item, dict) else item for item in items]
+        except (
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+            RecursionError,
+        ) as exc:
             return Error(_unavailable(f"list {prefix}: {exc!r}"))
-        return Ok([item["name"] if isinstance(item, dict) else item for item in items])
+        if not all(isinstance(name, str) for name in names):
+            return Error(_unavailable(f"list {prefix}: a name is no text"))
+        return Ok(names)
 
     def close(self) -> None:
         """Close the connections."""
@@ -184,7 +196,8 @@
 
 def _version_of(resp: urllib3.BaseHTTPResponse) -> int:
     text = resp.headers.get("ETag", "").strip('"')
-    return int(text) if text.isdecimal() else 0
+    is_version = text.isdecimal() and len(text) <= MAX_VERSION_DIGITS
+    return int(text) if is_version else 0
 
 
 def _conflict(name: str) -> ResultError:
--- a/packages/core/eelgrassdale/platform/vmlist.py
+++ b/packages/core/eelgrassdale/platform/vmlist.py
@@ -12,6 +12,7 @@
 from eelgrassdale.jsondecoding import decode_json, is_usable, whole_number
 from eelgrassdale.results import ResultCode, ResultError
 from eelgrassdale.settings import is_address
+from eelgrassdale.validresponses import pool_manager
 
 READ_TIMEOUT_SECONDS = 2.0
 MAX_BODY_BYTES = 4 * 1024 * 1024
@@ -112,7 +113,7 @@
 
     def __init__(self, *, url: str) -> None:
         self._url = f"{url.rstrip('/')}/vms"
-        self._pool = urllib3.PoolManager(
+        self._pool = pool_manager(
             retries=False, timeout=urllib3.Timeout(total=READ_TIMEOUT_SECONDS)
         )
 
--- a/packages/core/eelgrassdale/platform/weightsource.py
+++ b/packages/core/eelgrassdale/platform/weightsource.py
@@ -4,6 +4,7 @@
 from expression import Error, Ok, Result
 
 from eelgrassdale.results import ResultCode, ResultError
+from eelgrassdale.validresponses import pool_manager
 
 CONNECT_SECONDS = 1.0
 READ_SECONDS = 10.0
@@ -26,7 +27,7 @@
 
     def __init__(self, *, url: str, connections: int = 4) -> None:
         self.url = url.rstrip("/")
-        self._pool = urllib3.PoolManager(
+        self._pool = pool_manager(
             num_pools=1,
             maxsize=connections,
             retries=False,
--- a/packages/core/eelgrassdale/routing/frames.py
+++ b/packages/core/eelgrassdale/routing/frames.py
@@ -10,6 +10,9 @@
 # Longest answer whose text is kept so that another attempt can resume it. A
 # longer answer that is interrupted cannot be resumed.
 MAX_RESUME_BYTES = 64 * 1024
+# Statuses of responses that callers may get.
+MIN_FINAL_STATUS = 200
+MAX_FINAL_STATUS = 599
 
 
 class FrameVerdict(Enum):
@@ -20,6 +23,7 @@
     COMPLETE = "complete"
     FAILED = "failed"
     CORRUPT = "corrupt"
+    INVALID = "invalid"
 
 
 @define(kw_only=True)
@@ -61,10 +65,13 @@
 
         Frames of another incarnation, request or attempt, and frames that do
         not start at the current offset, are dropped. A last frame completes the
-        answer only if its total length and digest match all accepted bytes.
+        answer only if its total length and digest match all accepted bytes. A frame
+        whose HTTP status is not one of a final response is invalid.
         """
         if not self._is_next_frame(frame):
             return FrameVerdict.DROP
+        if frame.http_status and not _is_final_status(frame.http_status):
+            return FrameVerdict.INVALID
         if not frame.is_last:
             return FrameVerdict.ACCEPT if frame.data else FrameVerdict.DROP
         if frame.code != ResultCode.OK:
@@ -119,3 +126,7 @@
         if frame.digest != digest.hexdigest():
             return FrameVerdict.CORRUPT
         return FrameVerdict.COMPLETE
+
+
+def _is_final_status(status: int) -> bool:
+    return MIN_FINAL_STATUS <= status <= MAX_FINAL_STATUS
--- a/packages/core/eelgrassdale/routing/replay.py
+++ b/packages/core/eelgrassdale/routing/replay.py
@@ -133,6 +133,7 @@
     "total_length": 0,
     "digest": "",
     "code": 0,
+    "http_status": 0,
 }
 
 
--- a/packages/core/eelgrassdale/routing/tests/test_frames.py
+++ b/packages/core/eelgrassdale/routing/tests/test_frames.py
@@ -23,6 +23,7 @@
         "total_length": len(answer),
         "digest": xxhash.xxh3_128_hexdigest(answer),
         "code": 0,
+        "http_status": 0,
         **changes,
     }
     return SimpleNamespace(**fields)
@@ -84,3 +85,12 @@
     state = validator()
     state.accept(bytes(MAX_RESUME_BYTES + 1))
     assert state.text() is None
+
+
+def test_frame_with_a_status_that_no_caller_may_get_is_invalid():
+    for status in (-1, 99, 102, 199, 600, 999):
+        got = frame(0, 40, is_last=True, http_status=status)
+        assert validator().check_frame(got) is FrameVerdict.INVALID
+    for status in (200, 599):
+        got = frame(0, 40, is_last=True, http_status=status)
+        assert validator().check_frame(got) is FrameVerdict.COMPLETE
--- a/packages/entry/eelgrassdale_entry/polling.py
+++ b/packages/entry/eelgrassdale_entry/polling.py
@@ -228,10 +228,11 @@
             self._context.report_ended(stream.attempt, frame.code)
         else:
             self._context.metrics.count("answers_corrupt")
+            fault = "does not match its length and digest"
+            if verdict is FrameVerdict.INVALID:
+                fault = f"has the invalid status {frame.http_status}"
             self._context.report_ended(
-                stream.attempt,
-                ResultCode.ANSWER_TRUNCATED,
-                "the answer does not match its length and digest",
+                stream.attempt, ResultCode.ANSWER_TRUNCATED, f"the answer {fault}"
             )
 
     def _check_completed(self, stream: Stream, frame: Frame) -> None:
--- a/packages/entry/eelgrassdale_entry/streams.py
+++ b/packages/entry/eelgrassdale_entry/streams.py
@@ -36,6 +36,9 @@
         window_left = self.reserved
         for frame in frames:
             verdict = self.validator.check_frame(frame)
+            if verdict is FrameVerdict.INVALID:
+                # The head that goes with its data may not be sent.
+                frame.data = b""
             data = frame.data or b""
             if verdict is FrameVerdict.DROP or len(data) > window_left:
                 continue
--- a/packages/entry/eelgrassdale_entry/tests/test_response_integrity.py
+++ b/packages/entry/eelgrassdale_entry/tests/test_response_integrity.py
@@ -48,6 +48,15 @@
     assert agent.submitted[0].path == "/orders/1%2F2?size=3"
 
 
+def test_plain_answer_with_a_status_that_is_none_is_no_response():
+    agent = new_agent(service="desk")
+    agent.script = lambda request: AgentScript(text=b"whole", http_status=600)
+    with entry_node([agent]) as harness:
+        status, _, body = harness.call(path="orders/1")
+    assert status == 502
+    assert b"whole" not in body
+
+
 def test_large_plain_answer_is_whole():
     text = bytes(range(256)) * 2000
     agent = new_agent(service="desk")
