Refuse incomplete messages of other processes with typed errors

Cause: property tests found that fields missing in a heartbeat, a page of objects or a list of gateways raised errors of other types: in a heartbeat, after it had been applied in part, so that the sums of loads were wrong afterwards; in an answer of the store or a gateway, in the task that mirrors the store.

Change: heartbeats are checked before they are applied, and dropped with a log line; pages, lists of gateways and answers of the store without the needed fields are failed calls.

--- a/packages/gateway/eelgrassdale_gateway/objecthttp.py
+++ b/packages/gateway/eelgrassdale_gateway/objecthttp.py
@@ -237,7 +237,7 @@
         gateway_list = decode_struct(
             await self._call(address, GATEWAYS_PATH), GatewayList()
         )
-        if gateway_list is None or gateway_list.gateways is None:
+        if gateway_list is None or not _is_complete(gateway_list):
             raise StoreUnavailable(
                 "the answer is not a valid gateway list", is_store_failure=False
             )
@@ -259,7 +259,7 @@
             raise StoreUnavailable(
                 f"unreadable: {exc}", is_store_failure=False
             ) from exc
-        if page is None or page.records is None:
+        if page is None or None in (page.records, page.revision, page.changed_at):
             raise StoreUnavailable(
                 "the answer is not a valid object page", is_store_failure=False
             )
@@ -312,6 +312,15 @@
     return zlib.compress(encode_struct(page), COMPRESSION_LEVEL)
 
 
+def _is_complete(gateway_list: Any) -> bool:
+    entries = gateway_list.gateways
+    return entries is not None and all(
+        None not in (entry.name, entry.host, entry.port, entry.data_centre)
+        and entry.region is not None
+        for entry in entries
+    )
+
+
 def _outage_seconds(page: Any) -> float:
     return (page.outage_ms or 0) / 1000
 
@@ -327,6 +336,10 @@
 
 
 def _decode_record(record: Any) -> StoredObject:
+    if record.name is None or record.revision is None:
+        raise StoreUnavailable(
+            "object without a name or a revision", is_store_failure=False
+        )
     try:
         return StoredObject(
             name=record.name,
@@ -334,7 +347,7 @@
             spec=json.loads(record.spec),
             status=json.loads(record.status),
         )
-    except (TypeError, ValueError) as exc:
+    except (TypeError, ValueError, RecursionError) as exc:
         raise StoreUnavailable(
             f"malformed object {record.name!r}: {exc}", is_store_failure=False
         ) from exc
--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from random import Random
+from typing import Any
 
 import structlog
 
@@ -206,9 +207,17 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Handle a heartbeat or a notice; called by asyncio."""
         message = decode(data)
-        if message is None:
-            log.warning("malformed datagram dropped", source=f"{addr[0]}:{addr[1]}")
-        elif isinstance(message, ServerNotice):
+        try:
+            if message is None:
+                raise ValueError("no message")
+            self._handle_message(message, addr)
+        except (AttributeError, TypeError, ValueError) as exc:
+            # The decoder sets fields that are missing to None.
+            source = f"{addr[0]}:{addr[1]}"
+            log.warning("malformed datagram dropped", source=source, error=repr(exc))
+
+    def _handle_message(self, message: Any, addr: Address) -> None:
+        if isinstance(message, ServerNotice):
             if self._notices.record(message, now=self._clock.monotonic()):
                 self._on_notice()
         elif isinstance(message, PromptNotice):
@@ -219,6 +228,9 @@
             self._handle_heartbeat(message, addr)
 
     def _handle_heartbeat(self, heartbeat: Heartbeat, addr: Address) -> None:
+        if not _is_complete(heartbeat):
+            # Applied in part, it would make the sums over all peers wrong.
+            raise ValueError("incomplete heartbeat")
         self.table.add(addr)
         peer = self.table.get(addr)
         if peer is None:
@@ -305,6 +317,21 @@
         )
 
 
+def _is_complete(heartbeat: Heartbeat) -> bool:
+    """Return whether no field is missing that is compared or added up."""
+    entries = (
+        *((load.server, load.requests, load.tokens) for load in heartbeat.loads),
+        *((known.host, known.port) for known in heartbeat.known),
+        *((entry.kind, entry.revision) for entry in heartbeat.revisions or ()),
+        *(
+            (entry.service_name, entry.data_centre, entry.requests)
+            for entry in heartbeat.waiting or ()
+        ),
+    )
+    order = (heartbeat.incarnation, heartbeat.sequence)
+    return all(None not in fields for fields in (order, *entries))
+
+
 def _waiting_counts(waiting: Mapping[Subject, int]) -> list[WaitingCount]:
     return [
         WaitingCount(
