Refuse malformed tokens and control answers of engines with typed errors

Cause: a line that is no object, a token whose index or text has another type, an infinite number and deep nesting raised errors other than the typed one in the agent, or went on as a token.

Change: the fields of a token are checked, and the errors of conversion and nesting count as a failed stream or call.

--- a/packages/agent/eelgrassdale_agent/engine.py
+++ b/packages/agent/eelgrassdale_agent/engine.py
@@ -9,6 +9,7 @@
 from urllib3.response import HTTPResponse
 
 from eelgrassdale.admission.events import EngineReported
+from eelgrassdale.jsondecoding import is_text, whole_number
 from eelgrassdale.results import ResultCode
 from eelgrassdale.telemetry.traces import TRACEPARENT
 from eelgrassdale.validresponses import pool_manager
@@ -28,6 +29,8 @@
 MAX_CONTROL_BYTES = 64 * 1024
 # A longer line cannot be a token; the limit bounds the memory of the line buffer.
 MAX_LINE_BYTES = 64 * 1024
+MAX_INDEX = 2**31 - 1
+MAX_SHOWN_BYTES = 80
 
 _CODE_BY_STATUS = {
     400: ResultCode.INVALID_REQUEST,
@@ -85,7 +88,7 @@
                     raise ValueError("line too long")
                 if lines:
                     yield [_parse_token(line) for line in lines if line]
-        except (*EXCHANGE_ERRORS, KeyError, TypeError) as exc:
+        except (*EXCHANGE_ERRORS, KeyError, TypeError, RecursionError) as exc:
             raise connection_lost_error(exc) from exc
         raise BackendError(
             ResultCode.BACKEND_FAILED,
@@ -204,9 +207,14 @@
 
 def _parse_token(line: bytes) -> Token:
     value = json.loads(line)
-    if value.get("end"):
-        return Token(index=int(value["tokens"]), is_end=True)
-    return Token(index=value["i"], text=value["t"])
+    if not isinstance(value, dict):
+        raise TypeError(f"no token: {line[:MAX_SHOWN_BYTES]!r}")
+    is_end = bool(value.get("end"))
+    index = whole_number(value["tokens" if is_end else "i"], highest=MAX_INDEX)
+    text = "" if is_end else value["t"]
+    if not is_text(text):
+        raise TypeError(f"no text: {line[:MAX_SHOWN_BYTES]!r}")
+    return Token(index=index, text=text, is_end=is_end)
 
 
 def _parse_load_report(body: bytes, now: float) -> EngineReported:
--- a/packages/agent/eelgrassdale_agent/orders.py
+++ b/packages/agent/eelgrassdale_agent/orders.py
@@ -73,7 +73,7 @@
         try:
             resp = self._request("GET", "/load", timeout_seconds=STATE_TIMEOUT_SECONDS)
             fields = json.loads(resp.data) if resp.status == 200 else None
-        except (urllib3.exceptions.HTTPError, ValueError) as exc:
+        except (urllib3.exceptions.HTTPError, ValueError, RecursionError) as exc:
             return _error(ResultCode.BACKEND_FAILED, repr(exc))
         if not isinstance(fields, dict):
             return _error(
@@ -150,7 +150,7 @@
             return Ok({int(index) for index in fields["chunks"]})
         except urllib3.exceptions.HTTPError as exc:
             return _error(ResultCode.BACKEND_FAILED, repr(exc))
-        except (KeyError, TypeError, ValueError):
+        except (KeyError, TypeError, ValueError, OverflowError, RecursionError):
             return Ok(None)
 
     def order_load(
--- a/packages/agent/eelgrassdale_agent/tests/test_backend.py
+++ b/packages/agent/eelgrassdale_agent/tests/test_backend.py
@@ -1,15 +1,19 @@
 """Tests of responses of a backend server that are cut."""
 
 import contextlib
+import itertools
 import socket
 import threading
+from typing import ClassVar
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from eelgrassdale.clock import SystemClock
 from eelgrassdale.results import ResultCode
 from eelgrassdale_agent.backend import BackendError
-from eelgrassdale_agent.engine import EngineClient
+from eelgrassdale_agent.engine import EngineClient, EngineStream
 from eelgrassdale_agent.orders import EngineWeightsClient
 from eelgrassdale_agent.plainclient import PlainClient, PlainRequest
 
@@ -156,3 +160,55 @@
     with server_without_end() as (url, sent):
         use(url)
     assert sum(sent) < MAX_SENT_BYTES
+
+
+class ScriptedResponse:
+    """A response whose body arrives in the given pieces."""
+
+    headers: ClassVar = {}
+
+    def __init__(self, pieces):
+        self._pieces = pieces
+
+    def stream(self, _size):
+        return iter(self._pieces)
+
+
+LINES = st.sampled_from(
+    [
+        *(b'{"i": 0, "t": "a"}', b'{"i": 1, "t": 7}', b'{"i": "x", "t": "a"}', b"7"),
+        *(b'{"end": true, "tokens": 1}', b'{"end": true, "tokens": 1e999}', b"{}"),
+        *(b'{"end": true, "tokens": null}', b"[" * 100_000, b"[]", b"null", b"\xff"),
+        *(b'{"i": 0, "t": "\\ud800"}', b'{"end": true, "tokens": -1}', b""),
+    ]
+)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(st.lists(LINES | st.binary(max_size=6), max_size=5).map(b"\n".join))
+def test_token_lines_of_any_content_are_tokens_or_a_failed_stream(body):
+    """Guards against exceptions of other types in the thread of a job."""
+    stream = EngineStream(exchange=None, response=ScriptedResponse([body + b"\n"]))
+    batches = []
+    # A stream without an end line is a failed one, whatever came before.
+    with pytest.raises(BackendError):
+        batches.extend(stream.token_batches())
+    for token in itertools.chain.from_iterable(batches):
+        assert token.index >= 0
+        assert isinstance(token.text.encode(), bytes)
+
+
+@pytest.mark.parametrize(
+    "body", [b"[" * 100_000, b'{"chunks": [1e999]}', b"7", b'{"chunks": 7}', b"\xff"]
+)
+def test_control_answers_of_any_content_raise_nothing_else(body):
+    data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    with server_that_sends(data) as url:
+        client = EngineWeightsClient(backend_url=url, clock=SystemClock())
+        assert client.staged_indices("m").ok is None
+    with server_that_sends(data) as url:
+        client = EngineWeightsClient(backend_url=url, clock=SystemClock())
+        state = client.state()
+        assert state.is_error() or not state.ok.model_version
+    with server_that_sends(data) as url, pytest.raises(BackendError):
+        EngineClient(url=url).load_report(now=0.0)
