Order nothing in the first decision after the holder stood still

Cause: a process that was suspended reads datagrams of before when it goes on. They seem new, so that the time of low utilisation included the suspension. Change: after more than 5 s between two decisions the picture counts as stale.

--- a/packages/gateway/eelgrassdale_gateway/scaling/runner.py
+++ b/packages/gateway/eelgrassdale_gateway/scaling/runner.py
@@ -21,6 +21,9 @@
 INTERVAL_SECONDS = 1.0
 # Longest time of a call; later it counts as one without a response.
 ORDER_SECONDS = 2.0
+# After a longer time between two decisions the process stood still. What it reads then
+# was received before, however recent it seems.
+MAX_STEP_SECONDS = 5.0
 # Orders that are sent in one interval, the largest first, so that many subjects that
 # change together stay within the rate of the cloud API.
 MAX_ORDERS_PER_INTERVAL = 8
@@ -77,6 +80,7 @@
         self._order_servers = order_servers
         self._metrics = metrics
         self._permit: Permit | None = None
+        self._stepped_at: float | None = None
         self._state = HolderState()
 
     async def run(self) -> None:
@@ -97,12 +101,18 @@
         if fleet is None:
             return
         now = self._clock.monotonic()
+        pause_seconds = now - (self._stepped_at or now)
+        self._stepped_at = now
         pictures = self._state.pictures(
             fleet.counts,
             fleet.bounds,
             data_centres_out=fleet.data_centres_out,
             late_shares=fleet.late_shares,
-            age_seconds=fleet.age_seconds,
+            age_seconds=(
+                max(fleet.age_seconds, pause_seconds)
+                if pause_seconds > MAX_STEP_SECONDS
+                else fleet.age_seconds
+            ),
             now=now,
         )
         due = []
@@ -129,6 +139,7 @@
         if permit != self._permit:
             log.info("scaling begins" if permit is not None else "scaling ends")
             self._permit = permit
+            self._stepped_at = None
             self._state.clear()
             self._metrics.clear()
         return permit is not None
--- a/packages/gateway/eelgrassdale_gateway/scaling/tests/test_runner.py
+++ b/packages/gateway/eelgrassdale_gateway/scaling/tests/test_runner.py
@@ -114,6 +114,15 @@
     assert len(simulation.run(1)) == 1
 
 
+def test_holder_that_stood_still_decides_on_nothing_from_before():
+    """Guards against a removal for a time of which most was not observed."""
+    simulation = Simulation({"a": 4}, {"a": 5})
+    simulation.run(3)
+    simulation.clock.advance(seconds=60.0)
+    assert simulation.run(LOW_SECONDS) == []
+    assert len(simulation.run(2)) == 1
+
+
 def test_order_without_a_response_is_repeated_with_its_number():
     """Guards against a second number for an order that may have been carried out."""
     simulation = Simulation({"a": 4}, {"a": 50})
