--- a/packages/gateway/eelgrassdale_gateway/copycheck.py
+++ b/packages/gateway/eelgrassdale_gateway/copycheck.py
@@ -1,4 +1,4 @@
-"""Comparison of a gateway's copies of objects with the store's revision.
+"""Comparison of a gateway's copies of objects with the store's position.
 
 A watch of the store may never be answered although its connection stays open: the
 store does not answer a call that arrives while it is out of service, nor does it
@@ -15,6 +15,7 @@
 import structlog
 
 from eelgrassdale.clock import Clock
+from eelgrassdale_gateway.eras import Position
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.objects import HistoryGone, ObjectSource, StoreUnavailable
 
@@ -32,13 +33,13 @@
 
 
 def _has_all_changes(mirrors: Sequence[Mirror], store_revision: int) -> bool:
-    """Return whether the mirrors account for each step of the store's revision.
+    """Return whether mirrors of one era account for each step of the store's revision.
 
     The store has one revision for all kinds, which each change increases. Where other
     programs write kinds without a mirror, or a change is counted as several, this is
     false, and the kinds have to be read.
     """
-    complete_to = min(mirror.revision or 0 for mirror in mirrors)
+    complete_to = min(mirror.position.revision for mirror in mirrors)
     known: set[int] = set()
     for mirror in mirrors:
         known |= mirror.change_log.revisions_after(complete_to)
@@ -105,31 +106,43 @@
         return True
 
     def _is_from_store(self, mirror: Mirror) -> bool:
-        return mirror.revision is not None and self._reads_from_store(mirror.kind)
+        return mirror.position is not None and self._reads_from_store(mirror.kind)
 
     async def _check_mirrors(self, mirrors: Sequence[Mirror]) -> None:
         smallest = min(mirrors, key=lambda mirror: len(mirror.change_log.objects))
         listing = await self._call(self._store.list(smallest.kind))
         self._record_answer(mirrors)
+        mirrors = self._mirrors_of_era(mirrors, listing.era)
+        if not mirrors:
+            return
         if _has_all_changes(mirrors, listing.revision):
             for mirror in mirrors:
-                mirror.confirm(listing.revision)
+                mirror.confirm(listing.position)
             return
         for mirror in mirrors:
-            if mirror.revision is not None and mirror.revision < listing.revision:
-                await self._check_mirror(mirror, listing.revision)
+            if mirror.position is not None and mirror.position < listing.position:
+                await self._check_mirror(mirror, listing.position)
 
-    async def _check_mirror(self, mirror: Mirror, store_revision: int) -> None:
-        """Look for changes between a mirror's revision and the store's."""
+    def _mirrors_of_era(self, mirrors: Sequence[Mirror], era: int) -> list[Mirror]:
+        """Return the mirrors of the store's era; refresh those of an earlier one."""
+        for mirror in mirrors:
+            mirror.refresh_for_era(era)
+        return [m for m in mirrors if m.position is not None and m.position.era == era]
+
+    async def _check_mirror(self, mirror: Mirror, store_position: Position) -> None:
+        """Look for changes between a mirror's position and the store's."""
         answers = mirror.answer_count
-        revision = mirror.revision
+        position = mirror.position
         try:
             changes = await self._call(
-                self._store.watch(mirror.kind, revision=revision, wait_seconds=0.0)
+                self._store.watch(mirror.kind, position=position, wait_seconds=0.0)
             )
         except HistoryGone:
             mirror.refresh()
             return
+        if changes.era != position.era:
+            mirror.refresh_for_era(changes.era)
+            return
         if changes.changes:
             await asyncio.sleep(WATCH_LAG_SECONDS)
         if mirror.answer_count != answers:
@@ -139,13 +152,13 @@
             log.warning(
                 "watch missed changes; reading the whole kind again",
                 kind=mirror.kind,
-                at=revision,
+                at=position.revision,
                 changes=len(changes.changes),
                 silence=round(mirror.seconds_without_answer(), 3),
             )
             mirror.refresh()
         else:
-            mirror.confirm(store_revision)
+            mirror.confirm(store_position)
 
     async def _call(self, call: Awaitable[T]) -> T:
         try:
--- a/packages/gateway/eelgrassdale_gateway/mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/mirror.py
@@ -8,6 +8,7 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale_gateway.changelog import ChangeLog
+from eelgrassdale_gateway.eras import RELIST_JITTER_SECONDS, Position
 from eelgrassdale_gateway.objects import (
     HistoryGone,
     ObjectSource,
@@ -72,7 +73,7 @@
         self.change_log = ChangeLog()
         self.staleness_seconds = 0.0
         self.answer_count = 0
-        self._revision: int | None = None
+        self._position: Position | None = None
         self._answered_at: float | None = None
         self._store_failed = False
         self._unavailable_since: float | None = None
@@ -82,12 +83,12 @@
         self._rng = Random()
 
     @property
-    def revision(self) -> int | None:
-        """The store's revision to which the copy is known to be complete.
+    def position(self) -> Position | None:
+        """Position in the store's history to which the copy is known to be complete.
 
         None while the kind has to be read as a whole.
         """
-        return self._revision
+        return self._position
 
     async def run(self) -> None:
         """Keep the copy up to date until cancelled."""
@@ -98,26 +99,32 @@
                 log.info(
                     "change history expired; reading all objects",
                     kind=self.kind,
-                    at=self._revision,
+                    at=self._revision(),
                 )
-                self._revision = None
+                self._position = None
             except StoreUnavailable as exc:
                 # A new watch from the old revision may wait for changes that the
                 # store has just dropped from its history.
-                self._revision = None
+                self._position = None
                 await self._back_off(exc)
 
     def refresh(self) -> None:
         """Read the whole kind again, because other nodes have newer changes."""
         self._refresh_requested.set()
 
-    def confirm(self, revision: int) -> None:
-        """Record that the store has no further changes up to a revision.
+    def refresh_for_era(self, era: int) -> None:
+        """Read the whole kind again if the copy is of an earlier era."""
+        if self.change_log.era < era:
+            self.refresh()
 
-        The next watch starts there, so that it needs no history of before.
+    def confirm(self, position: Position) -> None:
+        """Record that the store has no further changes up to a position.
+
+        The next watch starts there, so that it needs no history of before. A position
+        of another era says nothing of this copy.
         """
-        if self._revision is not None:
-            self._revision = max(self._revision, revision)
+        if self._position is not None and self._position.era == position.era:
+            self._position = max(self._position, position)
             self._answered_at = self._clock.monotonic()
 
     def record_store_failure(self, *, since: float) -> None:
@@ -142,40 +149,69 @@
             log.info(
                 "copy is stale; reading the whole kind again",
                 kind=self.kind,
-                at=self._revision,
+                at=self._revision(),
             )
-            self._revision = None
+            self._position = None
         finally:
             self._refresh_requested.clear()
             step.cancel()
             refresh.cancel()
 
     async def _step(self) -> None:
-        if self._revision is None:
+        if self._position is None:
             has_followed = self._follows_gateway()
             listing = await self._source.list(self.kind)
+            self._require_known_era(listing.position)
             self.staleness_seconds = 0.0
             if has_followed and not self._store_failed:
                 self.staleness_seconds = self.seconds_without_answer()
             self._record_success()
             self._record_reported_outage(listing.outage_seconds)
-            self._revision = listing.revision
+            self._position = listing.position
             objects = {item.name: item for item in listing.objects}
-            self.change_log.replace(objects, listing.revision)
+            self.change_log.replace(objects, listing.position)
             self._apply_change()
             return
         changes = await self._source.watch(
-            self.kind, revision=self._revision, wait_seconds=WATCH_TIMEOUT_SECONDS
+            self.kind, position=self._position, wait_seconds=WATCH_TIMEOUT_SECONDS
         )
+        self._require_known_era(changes.position)
+        if changes.era > self._position.era:
+            # The changes do not follow on the copy, which lacks what the store lost.
+            log.info(
+                "store was restored; reading the whole kind again",
+                kind=self.kind,
+                at=self._revision(),
+                era=changes.era,
+            )
+            self._position = None
+            await asyncio.sleep(self._rng.uniform(0.0, RELIST_JITTER_SECONDS))
+            return
         self.staleness_seconds = 0.0
         self._record_success()
         self._record_reported_outage(changes.outage_seconds)
-        self._revision = max(self._revision, changes.revision)
-        self.change_log.add(changes.changes, self._revision)
+        self._position = max(self._position, changes.position)
+        self.change_log.add(changes.changes, self._position)
         if changes.changes:
             self._apply_change()
             await asyncio.sleep(self._debounce_seconds)
 
+    def _revision(self) -> int | None:
+        return None if self._position is None else self._position.revision
+
+    def _require_known_era(self, position: Position) -> None:
+        """Raise `StoreUnavailable` for an answer from before the era of the copy."""
+        if position.era < self.change_log.era:
+            log.warning(
+                "answer of an earlier era dropped",
+                kind=self.kind,
+                era=position.era,
+                known_era=self.change_log.era,
+            )
+            raise StoreUnavailable(
+                "answer of an earlier era of the store", is_store_failure=False
+            )
+
     def _apply_change(self) -> None:
         try:
             self._on_change(self.change_log.objects)
@@ -216,7 +252,7 @@
         if is_first_failure:
             self._unavailable_since = self._clock.monotonic()
         # The store may have failed checks before its watch failed.
-        if is_first_failure or self.change_log.revision is not None:
+        if is_first_failure or self.change_log.position is not None:
             log.warning(
                 "objects cannot be read; retrying", kind=self.kind, reason=str(exc)
             )
--- a/packages/gateway/eelgrassdale_gateway/model.py
+++ b/packages/gateway/eelgrassdale_gateway/model.py
@@ -169,7 +169,7 @@
     `id` usually changes when the server restarts, `started_at_ms` (its start time in
     Unix milliseconds) always does. Until `cold_until` the server is cold and gets
     requests at a limited rate. `versions` maps a model to the version whose weights
-    are completely loaded.
+    are completely loaded. `revision` is the store's revision of the entry.
     """
 
     id: str
@@ -182,6 +182,7 @@
     is_leaving: bool = False
     cold_until: float = 0.0
     versions: Mapping[str, int] = Factory(dict)
+    revision: int = field(default=0, eq=False)
 
     @property
     def incarnation(self) -> Incarnation:
--- a/packages/gateway/eelgrassdale_gateway/objecthttp.py
+++ b/packages/gateway/eelgrassdale_gateway/objecthttp.py
@@ -19,9 +19,12 @@
     ConnectionPool,
     Exchange,
     ExchangeFailed,
+    Headers,
     Request,
+    ResponseHead,
 )
 from eelgrassdale_gateway.changelog import ChangeLog
+from eelgrassdale_gateway.eras import Position, parse_era, read_era
 from eelgrassdale_gateway.messages import (
     MAX_INT32,
     GatewayEntry,
@@ -53,6 +56,8 @@
 # A configuration of a thousand routes has 400 KB, which one gateway sends to
 # many others over a narrow link. The fastest level removes most of that.
 COMPRESSION_LEVEL = 1
+# Names the era of the store of which a copy is; absent in era 0.
+ERA_HEADER = "copy-era"
 # Encoded answers cached for other followers; the oldest is evicted first.
 MAX_CACHED_PAGES = 16
 
@@ -64,21 +69,24 @@
     With `since` None it asks for the whole kind, otherwise for the changes after
     that revision, waiting for one for at most `wait` seconds. With `direct_only`,
     a gateway answers only if it reads from the store itself, so that no two
-    gateways follow each other.
+    gateways follow each other. A gateway whose copy is of an earlier era than `era`
+    does not answer.
     """
 
     kind: str
     since: int | None = None
     wait: float = 0.0
     direct_only: bool = False
+    era: int = 0
 
     @property
     def target(self) -> str:
         """The request's path and query."""
         since = "" if self.since is None else str(self.since)
+        era = f"&era={self.era}" if self.era else ""
         return (
             f"{OBJECTS_PATH}{quote(self.kind, safe='')}"
-            f"?since={since}&wait={self.wait:.3f}&direct={int(self.direct_only)}"
+            f"?since={since}&wait={self.wait:.3f}&direct={int(self.direct_only)}{era}"
         )
 
 
@@ -87,7 +95,7 @@
 
     Examples
     --------
-    >>> query = ObjectQuery(kind="a b", since=7, wait=2.0, direct_only=True)
+    >>> query = ObjectQuery(kind="a b", since=7, wait=2.0, direct_only=True, era=3)
     >>> parse_query(query.target) == query
     True
     >>> parse_query("/objects/k?since=x") is None
@@ -104,6 +112,7 @@
             since=int(fields["since"]) if "since" in fields else None,
             wait=min(MAX_WAIT_SECONDS, float(fields.get("wait", "0"))),
             direct_only=fields.get("direct") == "1",
+            era=parse_era([fields.get("era", "0")]),
         )
     except ValueError:
         return None
@@ -136,7 +145,7 @@
         self._reads_from_store = reads_from_store
         self._gateways = gateways
         self._clock = clock
-        self._page_cache: dict[tuple[str, int | None, int | None, int], bytes] = {}
+        self._page_cache: dict[tuple[str, int | None, Position, int], bytes] = {}
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -154,7 +163,8 @@
 
     def _can_answer(self, query: ObjectQuery, log: ChangeLog) -> bool:
         may_read_copy = not query.direct_only or self._reads_from_store(query.kind)
-        return log.revision is not None and may_read_copy
+        is_usable = log.position is not None and log.position.era >= query.era
+        return is_usable and may_read_copy
 
     async def _answer_list(
         self, exchange: Exchange, query: ObjectQuery, log: ChangeLog
@@ -162,7 +172,9 @@
         if not self._can_answer(query, log):
             await exchange.respond(503)
             return
-        await exchange.respond(200, (), self._encoded_page(query, log, None))
+        await exchange.respond(
+            200, _era_headers(log), self._encoded_page(query, log, None)
+        )
 
     async def _answer_watch(
         self, exchange: Exchange, query: ObjectQuery, log: ChangeLog
@@ -172,7 +184,7 @@
             if not self._can_answer(query, log):
                 await exchange.respond(503)
                 return
-            changes = log.since(query.since)
+            changes = log.since(Position(query.era, query.since))
             if changes is None:
                 await exchange.respond(410)
                 return
@@ -184,7 +196,9 @@
                     await log.wait()
             except TimeoutError:
                 continue
-        await exchange.respond(200, (), self._encoded_page(query, log, changes))
+        await exchange.respond(
+            200, _era_headers(log), self._encoded_page(query, log, changes)
+        )
 
     def _encoded_page(
         self, query: ObjectQuery, log: ChangeLog, changes: Sequence[Change] | None
@@ -192,7 +206,7 @@
         """Return a whole kind or its changes, encoded once for all followers."""
         outage_seconds = log.recent_outage_seconds(now=self._clock.monotonic())
         outage_ms = min(MAX_INT32, int(outage_seconds * 1000))
-        key = (query.kind, query.since, log.revision, outage_ms)
+        key = (query.kind, query.since, log.position, outage_ms)
         page = self._page_cache.get(key)
         if page is None:
             page = _encode_page(log, changes, outage_ms)
@@ -208,20 +222,23 @@
     def __init__(self) -> None:
         self._pool = ConnectionPool(connect_seconds=CONNECT_TIMEOUT_SECONDS)
 
-    async def list(self, address: Address, query: ObjectQuery) -> tuple[Listing, int]:
-        """Return a whole kind, and the revision of its newest change."""
-        page = await self._page(address, query)
+    async def list(
+        self, address: Address, query: ObjectQuery
+    ) -> tuple[Listing, Position]:
+        """Return a whole kind, and the position of its newest change."""
+        page, era = await self._page(address, query)
         objects = tuple(_decode_record(record) for record in page.records)
         listing = Listing(
             objects=objects,
             revision=page.revision,
             outage_seconds=_outage_seconds(page),
+            era=era,
         )
-        return listing, page.changed_at
+        return listing, Position(era, page.changed_at)
 
     async def watch(self, address: Address, query: ObjectQuery) -> Changes:
         """Return changes; raises `HistoryGone` if the gateway no longer has them."""
-        page = await self._page(address, query)
+        page, era = await self._page(address, query)
         changes = tuple(
             Change(object=_decode_record(record), is_deleted=bool(record.is_deleted))
             for record in page.records
@@ -230,13 +247,13 @@
             changes=changes,
             revision=page.revision,
             outage_seconds=_outage_seconds(page),
+            era=era,
         )
 
     async def gateways(self, address: Address) -> Sequence[GatewayEndpoint]:
         """Return the gateways that the gateway at `address` considers alive."""
-        gateway_list = decode_struct(
-            await self._call(address, GATEWAYS_PATH), GatewayList()
-        )
+        _, data = await self._call(address, GATEWAYS_PATH)
+        gateway_list = decode_struct(data, GatewayList())
         if gateway_list is None or gateway_list.gateways is None:
             raise StoreUnavailable(
                 "the answer is not a valid gateway list", is_store_failure=False
@@ -251,11 +268,13 @@
             for entry in gateway_list.gateways
         ]
 
-    async def _page(self, address: Address, query: ObjectQuery) -> Any:
-        data = await self._call(address, query.target, wait=query.wait)
+    async def _page(self, address: Address, query: ObjectQuery) -> tuple[Any, int]:
+        """Return a page and its era."""
+        head, data = await self._call(address, query.target, wait=query.wait)
         try:
+            era = read_era(head.headers, ERA_HEADER) or 0
             page = decode_struct(zlib.decompress(data), ObjectPage())
-        except zlib.error as exc:
+        except (ValueError, zlib.error) as exc:
             raise StoreUnavailable(
                 f"unreadable: {exc}", is_store_failure=False
             ) from exc
@@ -263,9 +282,11 @@
             raise StoreUnavailable(
                 "the answer is not a valid object page", is_store_failure=False
             )
-        return page
+        return page, era
 
-    async def _call(self, address: Address, target: str, wait: float = 0.0) -> bytes:
+    async def _call(
+        self, address: Address, target: str, wait: float = 0.0
+    ) -> tuple[ResponseHead, bytes]:
         host = f"{address[0]}:{address[1]}"
         req = Request(method="GET", target=target, headers=(("host", host),))
         try:
@@ -278,7 +299,7 @@
         if head.status != 200:
             reason = f"{host}: status {head.status}"
             raise StoreUnavailable(reason, is_store_failure=False)
-        return data
+        return head, data
 
 
 def encode_gateways(gateways: Sequence[GatewayEndpoint]) -> bytes:
@@ -304,14 +325,18 @@
     else:
         records = [_encode_record(c.object, is_deleted=c.is_deleted) for c in changes]
     page = ObjectPage(
-        revision=log.revision,
+        revision=log.position.revision,
         records=records,
-        changed_at=log.last_change_revision,
+        changed_at=log.last_change.revision,
         outage_ms=outage_ms or None,
     )
     return zlib.compress(encode_struct(page), COMPRESSION_LEVEL)
 
 
+def _era_headers(log: ChangeLog) -> Headers:
+    return ((ERA_HEADER, str(log.era)),) if log.era else ()
+
+
 def _outage_seconds(page: Any) -> float:
     return (page.outage_ms or 0) / 1000
 
--- a/packages/gateway/eelgrassdale_gateway/objects.py
+++ b/packages/gateway/eelgrassdale_gateway/objects.py
@@ -4,6 +4,8 @@
 
 from attrs import frozen
 
+from eelgrassdale_gateway.eras import Position
+
 
 class StoreUnavailable(Exception):
     """A source refused a call or did not answer it.
@@ -41,7 +43,7 @@
 
 @frozen(kw_only=True)
 class Listing:
-    """All objects of a kind at a revision of the store.
+    """All objects of a kind at a revision of the store, in one of its eras.
 
     `outage_seconds` is the length of an outage of the store that has just ended, as
     another gateway tells it, or 0.
@@ -50,11 +52,17 @@
     objects: tuple[StoredObject, ...]
     revision: int
     outage_seconds: float = 0.0
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Era and revision."""
+        return Position(self.era, self.revision)
 
 
 @frozen(kw_only=True)
 class Changes:
-    """Changes of a kind up to a revision of the store.
+    """Changes of a kind up to a revision of the store, in one of its eras.
 
     `outage_seconds` has the same meaning as that of `Listing`.
     """
@@ -62,6 +70,12 @@
     changes: tuple[Change, ...]
     revision: int
     outage_seconds: float = 0.0
+    era: int = 0
+
+    @property
+    def position(self) -> Position:
+        """Era and revision."""
+        return Position(self.era, self.revision)
 
 
 class ObjectSource(Protocol):
@@ -71,9 +85,12 @@
         """Return all objects of a kind."""
         ...
 
-    async def watch(self, kind: str, *, revision: int, wait_seconds: float) -> Changes:
-        """Return what changed after a revision, at the latest after `wait_seconds`.
+    async def watch(
+        self, kind: str, *, position: Position, wait_seconds: float
+    ) -> Changes:
+        """Return what changed after a position, at the latest after `wait_seconds`.
 
-        Raises `HistoryGone` if the source has dropped that part of its history.
+        The result may be of a newer era; then it does not follow on the position.
+        Raises `HistoryGone` if the source does not have that part of its history.
         """
         ...
--- a/packages/gateway/eelgrassdale_gateway/peers.py
+++ b/packages/gateway/eelgrassdale_gateway/peers.py
@@ -14,6 +14,7 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.hashing import rendezvous_order
+from eelgrassdale_gateway.eras import MAX_ERA, START, Position
 from eelgrassdale_gateway.loads import Load, LoadTracker
 from eelgrassdale_gateway.messages import (
     MAX_INT32,
@@ -66,14 +67,14 @@
         loads: LoadTracker,
         notices: NoticeRegistry,
         on_notice: Callable[[], None],
-        revisions: Callable[[], Mapping[str, int]] = dict,
+        positions: Callable[[], Mapping[str, Position]] = dict,
         on_prompt_notice: Callable[[PromptNotice], None] = lambda _notice: None,
         on_advisory_notice: Callable[[AdvisoryNotice], None] = lambda _notice: None,
         on_new_process: Callable[[Address], None] = lambda _address: None,
         seed: int | None = None,
     ) -> None:
         self.me = me
-        self._revisions = revisions
+        self._positions = positions
         self._on_prompt_notice = on_prompt_notice
         self._on_advisory_notice = on_advisory_notice
         self._on_new_process = on_new_process
@@ -121,12 +122,12 @@
         if self._transport is not None:
             self._transport.sendto(data, address)
 
-    def newest_revisions(self) -> dict[str, int]:
-        """Return the newest revision of each kind that live peers know."""
-        newest: dict[str, int] = {}
+    def newest_positions(self) -> dict[str, Position]:
+        """Return the position of the newest change of each kind that peers know."""
+        newest: dict[str, Position] = {}
         for peer in self.table.live():
-            for kind, revision in peer.revisions.items():
-                newest[kind] = max(revision, newest.get(kind, 0))
+            for kind, position in peer.positions.items():
+                newest[kind] = max(position, newest.get(kind, START))
         return newest
 
     def send_heartbeats(self) -> None:
@@ -223,8 +224,10 @@
             _node_info(heartbeat),
             sequence=heartbeat.sequence,
             is_leaving=heartbeat.is_leaving,
-            revisions={
-                entry.kind: entry.revision for entry in heartbeat.revisions or ()
+            positions={
+                entry.kind: Position(entry.era or 0, entry.revision)
+                for entry in heartbeat.revisions or ()
+                if 0 <= (entry.era or 0) <= MAX_ERA
             },
         )
 
@@ -240,7 +243,7 @@
         log.debug("a datagram could not be delivered", error=repr(exc))
 
     def _heartbeat(self, loads: Mapping[str, Load], *, with_loads: bool) -> Heartbeat:
-        """Return a heartbeat; `with_loads` includes loads and revisions."""
+        """Return a heartbeat; `with_loads` includes loads and positions."""
         live = self.table.live()
         known = self._rng.sample(live, min(PEERS_PER_HEARTBEAT, len(live)))
         return Heartbeat(
@@ -267,8 +270,10 @@
                 for peer in known
             ],
             revisions=[
-                KindRevision(kind=kind, revision=revision)
-                for kind, revision in (self._revisions().items() if with_loads else ())
+                KindRevision(
+                    kind=kind, revision=position.revision, era=position.era or None
+                )
+                for kind, position in (self._positions().items() if with_loads else ())
             ],
         )
 
--- a/packages/gateway/eelgrassdale_gateway/peers.thrift
+++ b/packages/gateway/eelgrassdale_gateway/peers.thrift
@@ -17,6 +17,8 @@
 struct KindRevision {
     1: string kind
     2: i64 revision
+    // Era of the store to which the revision belongs; absent in era 0.
+    3: optional i64 era
 }
 
 struct Heartbeat {
--- a/packages/gateway/eelgrassdale_gateway/peertable.py
+++ b/packages/gateway/eelgrassdale_gateway/peertable.py
@@ -8,6 +8,7 @@
 from attrs import define, field, frozen
 
 from eelgrassdale.clock import Clock
+from eelgrassdale_gateway.eras import Position
 from eelgrassdale_gateway.shares import GatewayGroup
 
 # Time without a heartbeat after which a peer of the same or of another region
@@ -59,7 +60,7 @@
     reported_at: float = float("-inf")
     added_at: float = 0.0
     is_leaving: bool = False
-    revisions: Mapping[str, int] = field(factory=dict)
+    positions: Mapping[str, Position] = field(factory=dict)
 
     @property
     def incarnation(self) -> int:
@@ -173,7 +174,7 @@
         *,
         sequence: int,
         is_leaving: bool,
-        revisions: Mapping[str, int],
+        positions: Mapping[str, Position],
     ) -> bool:
         """Apply a heartbeat; return False if a later one arrived before."""
         now = self._clock.monotonic()
@@ -183,7 +184,7 @@
         peer.info = info
         peer.sequence = sequence
         peer.heard_at = now
-        peer.revisions = revisions
+        peer.positions = positions
         if peer.is_leaving != is_leaving:
             peer.is_leaving = is_leaving
             self._group = None
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -19,6 +19,7 @@
 from eelgrassdale_gateway.attempts import AttemptRunner
 from eelgrassdale_gateway.copycheck import CopyCheck
 from eelgrassdale_gateway.dispatcher import Dispatcher
+from eelgrassdale_gateway.eras import START, EraTracker, Position
 from eelgrassdale_gateway.forwarding import Forwarder
 from eelgrassdale_gateway.gatewaysettings import GatewaySettings
 from eelgrassdale_gateway.headernames import HeaderNames
@@ -31,6 +32,7 @@
 from eelgrassdale_gateway.peertable import Address, NodeInfo
 from eelgrassdale_gateway.quarantine import QuarantineArchive, QuarantineExchange
 from eelgrassdale_gateway.quarantine.archive import ObjectStore
+from eelgrassdale_gateway.restoration import DataCentreMemory
 from eelgrassdale_gateway.retrybudgets import RetryBudgets
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.serverlist import ServerList
@@ -82,6 +84,8 @@
             started_at=self._clock.monotonic(),
         )
         self.servers = ServerList()
+        self._data_centres_out = DataCentreMemory()
+        self._era_noticed_at = float("-inf")
         self._pauses = PauseDetector(clock=self._clock)
         self.dispatcher = Dispatcher(
             clock=self._clock,
@@ -103,7 +107,7 @@
             loads=self.dispatcher.loads,
             notices=self.dispatcher.notices,
             on_notice=self.dispatcher.dispatch_waiting,
-            revisions=lambda: self._mirror_set.revisions() if self._mirror_set else {},
+            positions=lambda: self._mirror_set.positions() if self._mirror_set else {},
             on_prompt_notice=lambda notice: self._quarantine_exchange.handle(notice),
             on_advisory_notice=lambda notice: self._advisory_exchange.handle(notice),
             on_new_process=self._on_new_gateway,
@@ -177,19 +181,23 @@
         self,
         store: ObjectSource,
         make_mirrors: Callable[[SharedSource], Sequence[Mirror]],
+        *,
+        eras: EraTracker,
     ) -> None:
         """Mirror the store's objects, read from it or from other gateways."""
         source = SharedSource(
             store=store,
             topology=self._topology,
-            known_revision=self._known_revision,
+            known_position=self._known_position,
             clock=self._clock,
+            eras=eras,
         )
+        eras.subscribe(self._on_new_era)
         mirrors = make_mirrors(source)
         self._mirror_set = MirrorSet(
             source=source,
             mirrors=mirrors,
-            peer_revisions=self.peers.newest_revisions,
+            peer_positions=self.peers.newest_positions,
             copy_check=CopyCheck(
                 store=store,
                 mirrors=mirrors,
@@ -197,6 +205,10 @@
                 clock=self._clock,
                 interval_seconds=self.cfg.copy_check_seconds,
             ),
+            eras=eras,
+        )
+        self.telemetry.gauge(
+            "store_era", "Newest known era of the store.", lambda: eras.era
         )
         self.telemetry.gauge(
             "copy_silence_seconds",
@@ -204,13 +216,17 @@
             self._mirror_set.longest_silence_seconds,
         )
 
-    def keep_quarantines(self, store: ObjectStore, *, kind: str) -> None:
+    def keep_quarantines(
+        self, store: ObjectStore, *, kind: str, eras: EraTracker
+    ) -> None:
         """Keep the quarantines of prompts in the platform's store."""
         self._archive = QuarantineArchive(
             store=store,
             kind=kind,
             quarantine=self.dispatcher.quarantine,
             clock=self._clock,
+            eras=eras,
+            gateway_group=self._gateway_group,
         )
 
     def reconfigure(self, cfg: GatewaySettings) -> None:
@@ -239,14 +255,28 @@
         """Return whether callers may send requests to this gateway."""
         return self.routing_state.is_ready() and not self.is_stopping
 
-    def update_servers(self, listed: Mapping[str, BackendServer]) -> None:
+    def update_servers(
+        self, listed: Mapping[str, BackendServer], *, position: Position = START
+    ) -> None:
         """Apply the platform's list of backend servers."""
         now = self._clock.monotonic()
-        self._set_servers(self.servers.update(listed, now=now))
+        self._set_servers(self.servers.update(listed, now=now, position=position))
         delay = self.servers.seconds_until_expiry(now=now)
         if delay is not None:
             asyncio.get_running_loop().call_later(delay, self._recheck_servers)
 
+    def update_data_centres_out(self, listed: frozenset[str], *, era: int) -> None:
+        """Apply the platform's list of data centres that are out of service."""
+        now = self._clock.monotonic()
+        self.routing_state.set_data_centres_out(
+            self._data_centres_out.update(
+                listed, era=era, noticed_at=self._era_noticed_at, now=now
+            )
+        )
+        delay = self._data_centres_out.seconds_until_expiry(now=now)
+        if delay is not None:
+            asyncio.get_running_loop().call_later(delay, self._recheck_data_centres)
+
     def set_target_versions(
         self, versions: Mapping[str, int], *, staleness_seconds: float = 0.0
     ) -> None:
@@ -384,8 +414,12 @@
             gateways=tuple(self._live_gateway_endpoints()),
         )
 
-    def _known_revision(self, kind: str) -> int:
-        return self._mirror_set.revisions().get(kind, 0) if self._mirror_set else 0
+    def _known_position(self, kind: str) -> Position:
+        positions = self._mirror_set.positions() if self._mirror_set else {}
+        return positions.get(kind, START)
+
+    def _on_new_era(self, _old_era: int, _era: int) -> None:
+        self._era_noticed_at = self._clock.monotonic()
 
     async def _handle_peer(self, exchange: Exchange) -> None:
         if exchange.request.target.startswith("/weights/"):
@@ -396,6 +430,11 @@
     def _recheck_servers(self) -> None:
         self._set_servers(self.servers.current(now=self._clock.monotonic()))
 
+    def _recheck_data_centres(self) -> None:
+        self.routing_state.set_data_centres_out(
+            self._data_centres_out.current(now=self._clock.monotonic())
+        )
+
     def _set_servers(self, servers: Mapping[str, BackendServer]) -> None:
         self.dispatcher.health.retain(set(servers))
         self.routing_state.set_servers(servers)
--- a/packages/gateway/eelgrassdale_gateway/quarantine/archive.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/archive.py
@@ -1,7 +1,8 @@
 """Keeps quarantines in the platform's store, for when all gateways restart at once.
 
 The store is read once at the start and written when a quarantine begins, has a trial or
-is lifted. In between, gateways tell each other (`exchange`).
+is lifted. In between, gateways tell each other (`exchange`). A store that was restored
+from an older copy has lost some entries, which are written again.
 """
 
 import asyncio
@@ -12,8 +13,13 @@
 import structlog
 
 from eelgrassdale.clock import Clock
-from eelgrassdale.hashing import digest_of
+from eelgrassdale.hashing import digest_of, rendezvous_order
 from eelgrassdale.jsondecoding import whole_number
+from eelgrassdale_gateway.eras import (
+    REWRITE_JITTER_SECONDS,
+    EraTracker,
+    call_with_jitter,
+)
 from eelgrassdale_gateway.objects import Listing, StoredObject, StoreUnavailable
 from eelgrassdale_gateway.quarantine.evidence import CrashReport
 from eelgrassdale_gateway.quarantine.state import (
@@ -23,6 +29,7 @@
     Quarantine,
     SoundAnswer,
 )
+from eelgrassdale_gateway.shares import GatewayGroup, single_gateway_group
 
 RETRY_SECONDS = 0.5
 # An older entry is deleted: engines and models have changed since.
@@ -68,6 +75,11 @@
     unix_seconds : callable
         Returns the time of day. The age of entries is compared with a day, so clocks
         that differ by seconds do not matter.
+    eras : EraTracker
+        Tells when the store was restored.
+    gateway_group : callable
+        Returns the gateways, one of which rewrites each entry after a restoration, as
+        does the one that wrote it.
     """
 
     def __init__(
@@ -78,6 +90,8 @@
         quarantine: PromptQuarantine,
         clock: Clock,
         unix_seconds: Callable[[], float] = time.time,
+        eras: EraTracker | None = None,
+        gateway_group: Callable[[], GatewayGroup] = single_gateway_group,
     ) -> None:
         self._store = store
         self._kind = kind
@@ -86,7 +100,12 @@
         self._unix_seconds = unix_seconds
         self._unwritten: dict[frozenset[str], Quarantine] = {}
         self._has_unwritten = asyncio.Event()
+        # Parts of the quarantines that this gateway wrote last, oldest first.
+        self._own: dict[frozenset[str], None] = {}
+        self._gateway_group = gateway_group
         quarantine.subscribe(self._record)
+        if eras is not None:
+            eras.subscribe(self._on_new_era)
 
     async def run(self) -> None:
         """Read the stored quarantines, then write new states until cancelled."""
@@ -104,10 +123,29 @@
                 if is_storable and len(self._unwritten) < MAX_UNWRITTEN:
                     self._unwritten[finding.parts] = finding
                     self._has_unwritten.set()
+                    self._own.pop(finding.parts, None)
+                    self._own[finding.parts] = None
+                    while len(self._own) > MAX_UNWRITTEN:
+                        del self._own[next(iter(self._own))]
             case CrashReport() | SoundAnswer():
                 # Not kept: they count for two minutes only.
                 pass
 
+    def _on_new_era(self, _old_era: int, _era: int) -> None:
+        call_with_jitter(REWRITE_JITTER_SECONDS, self._rewrite_active)
+
+    def _rewrite_active(self) -> None:
+        for quarantine in self._quarantine.active():
+            if len(quarantine.parts) <= MAX_PARTS and self._is_writer(quarantine.parts):
+                self._unwritten.setdefault(quarantine.parts, quarantine)
+                self._has_unwritten.set()
+
+    def _is_writer(self, parts: frozenset[str]) -> bool:
+        """Return whether this gateway rewrites an entry, written here or by any."""
+        group = self._gateway_group()
+        order = rendezvous_order(key=object_name(parts), members=group.members)
+        return parts in self._own or order[0] == group.own_name
+
     async def _retry(self, call) -> None:
         while True:
             try:
--- a/packages/gateway/eelgrassdale_gateway/serverlist.py
+++ b/packages/gateway/eelgrassdale_gateway/serverlist.py
@@ -9,7 +9,9 @@
 
 from attrs import define, field
 
+from eelgrassdale_gateway.eras import START, Position
 from eelgrassdale_gateway.model import BackendServer
+from eelgrassdale_gateway.restoration import ServerMemory
 
 # Entries of live servers are written again about 2 s after the store's recovery.
 RETENTION_SECONDS = 2.5
@@ -37,6 +39,7 @@
     _listed: dict[str, BackendServer] = field(factory=dict)
     _retained: dict[str, BackendServer] = field(factory=dict)
     _retain_until: float = float("-inf")
+    _memory: ServerMemory = field(factory=ServerMemory)
 
     def record_store_recovery(self, outage: float, *, now: float) -> None:
         """Retain entries for a while, as the store is back after `outage` seconds."""
@@ -44,9 +47,20 @@
             self._retain_until = now + RETENTION_SECONDS
 
     def update(
-        self, listed: Mapping[str, BackendServer], *, now: float
+        self,
+        listed: Mapping[str, BackendServer],
+        *,
+        now: float,
+        position: Position = START,
     ) -> Mapping[str, BackendServer]:
-        """Replace the listed entries and return the servers that count as present."""
+        """Replace the listed entries and return the servers that count as present.
+
+        An older copy, from which the store was restored, lacks the entries of servers
+        that started since; they write them again.
+        """
+        if self._memory.begins_era(position.era):
+            self._retain_until = now + RETENTION_SECONDS
+        listed = self._memory.update(listed, position)
         missing = self._listed.keys() - listed.keys()
         if now < self._retain_until:
             self._retained |= {
--- a/packages/gateway/eelgrassdale_gateway/sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/sharedsource.py
@@ -14,6 +14,7 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.hashing import rendezvous_order
+from eelgrassdale_gateway.eras import EraTracker, Position
 from eelgrassdale_gateway.objecthttp import Address, ObjectClient, ObjectQuery
 from eelgrassdale_gateway.objects import (
     Changes,
@@ -116,6 +117,10 @@
     return [by_name[name] for name in order if name in by_name and name != reader]
 
 
+def _source_name(address: Address | None) -> str:
+    return "store" if address is None else f"{address[0]}:{address[1]}"
+
+
 class SharedSource:
     """An `ObjectSource` that reads from the store or from other gateways.
 
@@ -125,9 +130,12 @@
         The platform's store.
     topology : callable
         Returns the present `LocalTopology`.
-    known_revision : callable
-        Returns the revision of the newest change of a kind that this node knows;
+    known_position : callable
+        Returns the position of the newest change of a kind that this node knows;
         older listings of gateways are rejected.
+    eras : EraTracker
+        Learns the era of each answer. Those of an earlier era than the newest known
+        one are rejected.
     poll_seconds : float
         Seconds of one long poll at another gateway.
     """
@@ -137,13 +145,15 @@
         *,
         store: ObjectSource,
         topology: Callable[[], LocalTopology],
-        known_revision: Callable[[str], int],
+        known_position: Callable[[str], Position],
         clock: Clock,
+        eras: EraTracker | None = None,
         poll_seconds: float = FOLLOWER_POLL_SECONDS,
     ) -> None:
         self._store = store
         self._topology = topology
-        self._known_revision = known_revision
+        self._known_position = known_position
+        self._eras = eras or EraTracker()
         self._clock = clock
         self._poll_seconds = poll_seconds
         self._client = ObjectClient()
@@ -179,6 +189,7 @@
             self._asked_sources[kind] = address
             try:
                 listing = await self._list_from(kind, address)
+                self._check_era(address, listing.position)
             except StoreUnavailable as exc:
                 store_failed |= exc.is_store_failure
                 self._record_failure(kind, address, exc)
@@ -195,8 +206,10 @@
             "no source of objects is available", is_store_failure=store_failed
         )
 
-    async def watch(self, kind: str, *, revision: int, wait_seconds: float) -> Changes:
-        """Return what changed after a revision.
+    async def watch(
+        self, kind: str, *, position: Position, wait_seconds: float
+    ) -> Changes:
+        """Return what changed after a position.
 
         Raises `StoreUnavailable`, or `HistoryGone` if the source has dropped that
         part of its history.
@@ -210,35 +223,41 @@
         try:
             if address is None:
                 self._record_success(kind, None)
-                return await self._watch_store(kind, revision, wait_seconds)
+                return await self._watch_store(kind, position, wait_seconds)
             query = ObjectQuery(
                 kind=kind,
-                since=revision,
+                since=position.revision,
+                era=position.era,
                 wait=self._poll_seconds,
                 direct_only=self._topology().is_gateway,
             )
             changes = await self._client.watch(address, query)
+            self._check_era(address, changes.position)
         except StoreUnavailable as exc:
             self._record_failure(kind, address, exc)
             raise
         self._record_success(kind, address)
         return changes
 
-    async def _watch_store(self, kind: str, revision: int, wait: float) -> Changes:
+    async def _watch_store(self, kind: str, position: Position, wait: float) -> Changes:
         """Watch the store until a change, or until another source is preferred.
 
         In the second case, return no changes.
         """
         watch_task = asyncio.ensure_future(
-            self._store.watch(kind, revision=revision, wait_seconds=wait)
+            self._store.watch(kind, position=position, wait_seconds=wait)
         )
         try:
             while True:
                 await asyncio.wait((watch_task,), timeout=ROLE_CHECK_INTERVAL_SECONDS)
                 if watch_task.done():
-                    return watch_task.result()
+                    changes = watch_task.result()
+                    self._check_era(None, changes.position)
+                    return changes
                 if self._available_sources()[:1] not in ([None], []):
-                    return Changes(changes=(), revision=revision)
+                    return Changes(
+                        changes=(), revision=position.revision, era=position.era
+                    )
         finally:
             watch_task.cancel()
 
@@ -247,15 +266,34 @@
             return await self._list_avoided_store(kind)
         if address is None:
             return await self._store.list(kind)
-        query = ObjectQuery(kind=kind, direct_only=self._topology().is_gateway)
-        listing, last_change_revision = await self._client.list(address, query)
-        if last_change_revision < self._known_revision(kind):
+        query = ObjectQuery(
+            kind=kind,
+            direct_only=self._topology().is_gateway,
+            era=self._eras.era,
+        )
+        listing, last_change = await self._client.list(address, query)
+        if last_change < self._known_position(kind):
             raise StoreUnavailable(
                 f"{address} has an outdated copy",
                 is_store_failure=False,
             )
         return listing
 
+    def _check_era(self, address: Address | None, position: Position) -> None:
+        """Learn the era of an answer; raise `StoreUnavailable` if it is over."""
+        self._eras.observe(position.era, position.revision)
+        if position.era < self._eras.era:
+            log.info(
+                "copy of an earlier era dropped",
+                source=_source_name(address),
+                era=position.era,
+                known_era=self._eras.era,
+            )
+            raise StoreUnavailable(
+                f"{_source_name(address)} has a copy of an earlier era",
+                is_store_failure=False,
+            )
+
     async def _list_avoided_store(self, kind: str) -> Listing:
         try:
             async with asyncio.timeout(AVOIDED_STORE_TIMEOUT_SECONDS):
@@ -298,7 +336,7 @@
         if address is not None:
             self._gateways_failed_at = None
         if self._sources.get(kind, ()) != address:
-            source = "store" if address is None else f"{address[0]}:{address[1]}"
+            source = _source_name(address)
             log.info("source of objects selected", kind=kind, source=source)
         self._sources[kind] = address
 
--- a/packages/gateway/eelgrassdale_gateway/tests/test_changelog.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_changelog.py
@@ -2,9 +2,14 @@
 
 from eelgrassdale_gateway import changelog
 from eelgrassdale_gateway.changelog import ChangeLog
+from eelgrassdale_gateway.eras import Position
 from eelgrassdale_gateway.objects import Change, StoredObject
 
 
+def at(revision, era=0):
+    return Position(era, revision)
+
+
 def item(name, revision, value=0):
     return StoredObject(name=name, revision=revision, spec=value)
 
@@ -15,38 +20,57 @@
     25 versions of a large configuration in two seconds saturated a link.
     """
     log = ChangeLog()
-    log.replace({}, 5)
+    log.replace({}, at(5))
     for revision in range(6, 31):
-        log.add([Change(object=item("main", revision, revision))], revision)
-    assert [change.object.spec for change in log.since(5)] == [30]
-    assert [change.object.spec for change in log.since(29)] == [30]
-    assert log.since(30) == ()
+        log.add([Change(object=item("main", revision, revision))], at(revision))
+    assert [change.object.spec for change in log.since(at(5))] == [30]
+    assert [change.object.spec for change in log.since(at(29))] == [30]
+    assert log.since(at(30)) == ()
 
 
 def test_follower_that_is_too_far_behind_reads_the_whole_kind(monkeypatch):
     monkeypatch.setattr(changelog, "MAX_CHANGES", 3)
     log = ChangeLog()
-    log.replace({}, 5)
+    log.replace({}, at(5))
     for revision in range(6, 11):
-        log.add([Change(object=item(f"o-{revision}", revision))], revision)
-    assert log.since(5) is None
-    assert len(log.since(8)) == 2
+        log.add([Change(object=item(f"o-{revision}", revision))], at(revision))
+    assert log.since(at(5)) is None
+    assert len(log.since(at(8))) == 2
+
+
+def test_follower_from_an_earlier_era_reads_the_whole_kind():
+    """Guards against changes of a restored store that are added to a copy of before."""
+    log = ChangeLog()
+    log.replace({"a": item("a", 9)}, at(9))
+    log.replace({"a": item("a", 3)}, at(5, era=1))
+    assert log.since(at(9)) is None
+    assert log.since(at(5, era=1)) == ()
+
+
+def test_newest_change_of_a_restored_store_is_newer_than_higher_revisions():
+    """Guards against copies of before a restoration that count as newer ones."""
+    log = ChangeLog()
+    log.replace({"a": item("a", 9)}, at(9))
+    log.replace({"a": item("a", 3)}, at(5, era=1))
+    assert log.last_change == at(3, era=1)
+    log.add([Change(object=item("a", 6))], at(6, era=1))
+    assert log.last_change == at(6, era=1)
 
 
 def test_two_copies_agree_on_the_revision_of_a_deletion():
     first, second = ChangeLog(), ChangeLog()
     for log, revision in ((first, 9), (second, 12)):
-        log.replace({"a": item("a", 3)}, 5)
-        log.add([Change(object=item("a", 8), is_deleted=True)], revision)
-    assert first.last_change_revision == second.last_change_revision == 8
+        log.replace({"a": item("a", 3)}, at(5))
+        log.add([Change(object=item("a", 8), is_deleted=True)], at(revision))
+    assert first.last_change == second.last_change == at(8)
 
 
 def test_unavailable_copy_has_no_revision():
     log = ChangeLog()
-    log.replace({"a": item("a", 3)}, 5)
+    log.replace({"a": item("a", 3)}, at(5))
     log.mark_unavailable()
-    assert log.revision is None
-    assert log.last_change_revision == 3
+    assert log.position is None
+    assert log.last_change == at(3)
 
 
 def test_change_older_than_the_known_object_is_skipped():
@@ -55,10 +79,10 @@
     A listing of several pages may contain a change that the next watch repeats.
     """
     log = ChangeLog()
-    log.replace({"a": item("a", 9, 2)}, 5)
+    log.replace({"a": item("a", 9, 2)}, at(5))
     older = [
         Change(object=item("a", 7, 1)),
         Change(object=item("a", 7, 1), is_deleted=True),
     ]
-    log.add(older, 8)
+    log.add(older, at(8))
     assert log.objects["a"].spec == 2
--- a/packages/gateway/eelgrassdale_gateway/tests/test_copycheck.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_copycheck.py
@@ -29,6 +29,8 @@
     """
 
     revision: int = 1
+    era: int = 0
+    restored_by_call: str = ""
     reports_changes: bool = True
     is_silent: bool = False
     is_failing: bool = False
@@ -54,22 +56,26 @@
     async def list(self, kind):
         await self._answer("list", kind)
         return Listing(
-            objects=tuple(self.objects[kind].values()), revision=self.revision
+            objects=tuple(self.objects[kind].values()),
+            revision=self.revision,
+            era=self.era,
         )
 
-    async def watch(self, kind, *, revision, wait_seconds):
+    async def watch(self, kind, *, position, wait_seconds):
         if wait_seconds == 0:
             await self._answer("read", kind)
             if not self.has_history:
                 raise HistoryGone(kind)
-        while not (changes := self._changes(kind, revision)) and wait_seconds:
+        while not (changes := self._changes(kind, position.revision)) and wait_seconds:
             await self.changed.wait()
         if wait_seconds and not self.reports_changes:
             await asyncio.Event().wait()
-        return Changes(changes=changes, revision=self.revision)
+        return Changes(changes=changes, revision=self.revision, era=self.era)
 
     async def _answer(self, call, kind):
         self.calls.append(f"{call} {kind}")
+        if self.calls[-1] == self.restored_by_call:
+            self.era += 1
         if self.is_failing:
             raise StoreUnavailable("refused by the store")
         if self.is_silent:
@@ -168,6 +174,60 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("revision", [1, 90])
+def test_copies_of_an_earlier_era_are_listed_again(revision):
+    """Guards against copies that keep what a restored store has lost.
+
+    No watch reports the restoration, and revisions may be beyond those of before.
+    """
+
+    async def scenario(gateway):
+        store = gateway.store
+        store.reports_changes = False
+        store.era, store.revision = 1, revision
+        del store.objects["large"]["b"]
+        assert await gateway.check.check()
+        await wait_until(lambda: gateway.names("large") == {"a"})
+        await wait_until(lambda: gateway.mirrors["small"].position == (1, revision))
+
+    run_scenario(scenario)
+
+
+def test_listing_of_an_earlier_era_confirms_nothing():
+    """Guards against a delayed answer by which a copy counts as complete."""
+
+    async def scenario(gateway):
+        store = gateway.store
+        store.era = 1
+        await gateway.check.check()
+        await wait_until(lambda: all(m.position for m in gateway.mirrors.values()))
+        await wait_until(lambda: gateway.mirrors["small"].change_log.era == 1)
+        await wait_until(lambda: gateway.mirrors["large"].change_log.era == 1)
+        before = [mirror.position for mirror in gateway.mirrors.values()]
+        store.reports_changes = False
+        store.era, store.revision = 0, 90
+        store.calls.clear()
+        await gateway.check.check()
+        assert [mirror.position for mirror in gateway.mirrors.values()] == before
+        assert store.calls == ["list small"]
+
+    run_scenario(scenario)
+
+
+def test_restoration_between_the_calls_of_a_check_is_noticed():
+    """Guards against changes of a new era that are counted as missed by a watch."""
+
+    async def scenario(gateway):
+        store = gateway.store
+        store.reports_changes = False
+        store.write("large", "c", step=5)
+        store.restored_by_call = "read large"
+        await gateway.check.check()
+        await wait_until(lambda: gateway.mirrors["large"].change_log.era == 1)
+
+    run_scenario(scenario)
+
+
 def test_change_of_another_kind_does_not_hide_a_missed_one():
     """Guards against a revision that counts as known as a later change was seen."""
 
@@ -195,7 +255,7 @@
         assert gateway.store.calls == ["list small"] * 3
 
     def revisions(gateway):
-        return [mirror.revision for mirror in gateway.mirrors.values()]
+        return [mirror.position.revision for mirror in gateway.mirrors.values()]
 
     run_scenario(scenario)
 
--- a/packages/gateway/eelgrassdale_gateway/tests/test_mirror.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_mirror.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from eelgrassdale.clock import SystemClock
+from eelgrassdale_gateway.eras import Position
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.objects import (
     Change,
@@ -24,8 +27,8 @@
     async def list(self, kind):
         return await self._next("list")
 
-    async def watch(self, kind, *, revision, wait_seconds):
-        return await self._next(f"watch {revision}")
+    async def watch(self, kind, *, position, wait_seconds):
+        return await self._next(f"watch {position.revision}")
 
     async def _next(self, call):
         self.calls.append(call)
@@ -43,16 +46,17 @@
     return StoredObject(name=name, revision=revision, spec=value)
 
 
-def listing(revision, *items):
-    return Listing(objects=items, revision=revision)
+def listing(revision, *items, era=0):
+    return Listing(objects=items, revision=revision, era=era)
 
 
-def changes(revision, *pairs):
+def changes(revision, *pairs, era=0):
     return Changes(
         changes=tuple(
             Change(object=i, is_deleted=is_deleted) for i, is_deleted in pairs
         ),
         revision=revision,
+        era=era,
     )
 
 
@@ -85,6 +89,65 @@
     return snapshots, outages
 
 
+def test_watch_of_a_newer_era_is_followed_by_a_whole_list():
+    """Guards against a copy that mixes what the store lost with what it has now."""
+    source = ScriptedSource(
+        listing(5, item("lost", 1), item("a", 1)),
+        changes(9, (item("b", 1, 9), False), era=1),
+        listing(9, item("a", 1), item("b", 1, 9), era=1),
+    )
+    snapshots, _ = run_mirror(source, calls=4)
+    assert snapshots == [{"lost": 1, "a": 1}, {"a": 1, "b": 1}]
+    assert source.calls == ["list", "watch 5", "list", "watch 9"]
+
+
+def test_listing_of_a_newer_era_replaces_one_with_higher_revisions():
+    """Guards against watches from a revision that the restored store lacks."""
+    source = ScriptedSource(
+        listing(9, item("a", 2, 9)), HistoryGone("k"), listing(5, era=1)
+    )
+    snapshots, _ = run_mirror(source, calls=4)
+    assert snapshots[-1] == {}
+    assert source.calls[-1] == "watch 5"
+
+
+@pytest.mark.parametrize(
+    "delayed", [listing(9, item("a", 1)), changes(9, (item("a", 1, 9), False))]
+)
+def test_answer_of_an_earlier_era_is_dropped(delayed):
+    """Guards against a delayed answer that rolls a copy back to before a restoration.
+
+    It is an answer to a listing or a watch; the copy is listed again after it.
+    """
+    gone = [HistoryGone("k")] if isinstance(delayed, Listing) else []
+    source = ScriptedSource(
+        listing(5, item("a", 2), era=1), *gone, delayed, listing(5, era=1)
+    )
+    snapshots, _ = run_mirror(source, calls=4 + len(gone))
+    assert snapshots == [{"a": 2}, {}]
+
+
+def test_position_of_another_era_does_not_confirm_a_copy():
+    """Guards against a copy of before a restoration that counts as complete after it.
+
+    Its next watch would begin at a revision of the new era and miss the changes before.
+    """
+    source = ScriptedSource(listing(5, item("a", 1)))
+
+    async def run():
+        mirror = Mirror(
+            kind="k", source=source, clock=SystemClock(), on_change=lambda _objects: 0
+        )
+        task = asyncio.ensure_future(mirror.run())
+        while mirror.position is None:
+            await asyncio.sleep(0)
+        mirror.confirm(Position(1, 7))
+        task.cancel()
+        return mirror.position
+
+    assert asyncio.run(run()) == Position(0, 5)
+
+
 def test_changes_and_deletions_are_followed():
     source = ScriptedSource(
         listing(5, item("a", 1), item("b", 1)),
@@ -201,9 +264,9 @@
     # Guards against a gateway that goes on to watch a gateway that stands still,
     # although its copy was found stale and the store has a newer one.
     class RefreshingSource(ScriptedSource):
-        async def watch(self, kind, *, revision, wait_seconds):
+        async def watch(self, kind, *, position, wait_seconds):
             result = await super().watch(
-                kind, revision=revision, wait_seconds=wait_seconds
+                kind, position=position, wait_seconds=wait_seconds
             )
             mirror.refresh()
             return result
--- a/packages/gateway/eelgrassdale_gateway/tests/test_objecthttp.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_objecthttp.py
@@ -5,10 +5,13 @@
 
 import pytest
 
+from eelgrassdale.clock import ManualClock
 from eelgrassdale.http1 import HttpServer
+from eelgrassdale_gateway.changelog import ChangeLog
+from eelgrassdale_gateway.eras import Position
 from eelgrassdale_gateway.messages import ObjectPage, ObjectRecord, encode_struct
-from eelgrassdale_gateway.objecthttp import ObjectClient, ObjectQuery
-from eelgrassdale_gateway.objects import StoreUnavailable
+from eelgrassdale_gateway.objecthttp import ObjectClient, ObjectQuery, ObjectServer
+from eelgrassdale_gateway.objects import StoredObject, StoreUnavailable
 
 
 @pytest.mark.parametrize("spec", [b"{", b"\xff", None])
@@ -18,20 +21,62 @@
     record = ObjectRecord(name="a", revision=4, spec=spec, status=b"{}")
     page = encode_struct(ObjectPage(revision=4, records=[record], changed_at=4))
 
-    async def answer(exchange):
-        await exchange.respond(200, (), zlib.compress(page))
+    assert asyncio.run(fail_to_read(page, since=since)) is False
+
+
+@pytest.mark.parametrize("era", ["x", "-1", "2147483649"])
+def test_copy_with_an_invalid_era_counts_as_a_failed_read(era):
+    """Guards against positions that do not exist, which no later one would exceed."""
+    page = encode_struct(ObjectPage(revision=4, records=[], changed_at=4))
+    headers = (("copy-era", era),)
+    assert asyncio.run(fail_to_read(page, headers=headers)) is False
+
+
+def test_copies_of_two_eras_at_one_revision_differ():
+    """Guards against an encoded copy that is still served after a restoration."""
+    change_log = ChangeLog()
+    server = ObjectServer(
+        change_logs=lambda: {"k": change_log},
+        reads_from_store=lambda kind: True,
+        gateways=list,
+        clock=ManualClock(),
+    )
 
     async def run():
-        server = HttpServer(handler=answer)
-        address = await server.start("127.0.0.1", 0)
-        client = ObjectClient()
-        query = ObjectQuery(kind="k", since=since)
+        http_server = HttpServer(handler=server.handle)
+        address = await http_server.start("127.0.0.1", 0)
+        listings = []
         try:
-            with pytest.raises(StoreUnavailable) as caught:
-                await (client.list if since is None else client.watch)(address, query)
-            return caught.value.is_store_failure
+            for era, name in ((0, "lost"), (2**31, "kept")):
+                item = StoredObject(name=name, revision=3)
+                change_log.replace({name: item}, Position(era, 5))
+                query = ObjectQuery(kind="k", era=era)
+                listings.append(await ObjectClient().list(address, query))
         finally:
-            server.stop_listening()
-            server.abort_all()
+            http_server.stop_listening()
+            http_server.abort_all()
+        return [(lst.objects[0].name, lst.position, at) for lst, at in listings]
+
+    assert asyncio.run(run()) == [
+        ("lost", (0, 5), (0, 3)),
+        ("kept", (2**31, 5), (2**31, 3)),
+    ]
+
+
+async def fail_to_read(page, *, since=None, headers=()):
+    """Read a page that is no valid one; return whether it counts as a store failure."""
+
+    async def answer(exchange):
+        await exchange.respond(200, headers, zlib.compress(page))
 
-    assert asyncio.run(run()) is False
+    server = HttpServer(handler=answer)
+    address = await server.start("127.0.0.1", 0)
+    client = ObjectClient()
+    query = ObjectQuery(kind="k", since=since)
+    try:
+        with pytest.raises(StoreUnavailable) as caught:
+            await (client.list if since is None else client.watch)(address, query)
+        return caught.value.is_store_failure
+    finally:
+        server.stop_listening()
+        server.abort_all()
--- a/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_peers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from eelgrassdale.clock import ManualClock
+from eelgrassdale_gateway.eras import MAX_ERA, Position
 from eelgrassdale_gateway.loads import LoadTracker
 from eelgrassdale_gateway.messages import Heartbeat, ServerNotice, decode, encode
 from eelgrassdale_gateway.notices import NoticeRegistry
@@ -89,6 +90,33 @@
     assert [len(node.table.live()) for node in nodes] == [4] * 5
 
 
+@pytest.mark.parametrize("era", [0, 3, MAX_ERA])
+def test_heartbeats_carry_positions(era):
+    """Guards against revisions of a restored store that look older than they are.
+
+    In a store without eras, heartbeats are as they were before.
+    """
+    wire = FakeNetwork()
+    a, b = wire.add("a"), wire.add("b")
+    a._positions = lambda: {"k": Position(era, 7)}
+    a.table.add(("b", 1))
+    wire.run()
+    assert b.newest_positions() == {"k": Position(era, 7)}
+    entry = a._heartbeat({}, with_loads=True).revisions[0]
+    assert entry.era == (era or None)
+
+
+def test_newest_position_is_ordered_by_era_first():
+    """Guards against a copy that counts as newer by a revision of an earlier era."""
+    wire = FakeNetwork()
+    a, b, c, d = (wire.add(name) for name in "abcd")
+    for node, position in ((b, (0, 90)), (c, (2, 5)), (d, (MAX_ERA + 1, 7))):
+        node._positions = lambda position=position: {"k": Position(*position)}
+        node.table.add(("a", 1))
+    wire.run()
+    assert a.newest_positions() == {"k": Position(2, 5)}
+
+
 def test_silent_node_is_not_live_and_returns_by_itself():
     wire = FakeNetwork()
     a, b = wire.add("a"), wire.add("b")
--- a/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
@@ -3,16 +3,17 @@
 import asyncio
 
 import pytest
-from attrs import define, field
+from attrs import define, evolve, field
 
 from eelgrassdale.clock import ManualClock, SystemClock
 from eelgrassdale.http1 import HttpServer
 from eelgrassdale.tests.ports import free_address
 from eelgrassdale_gateway import copycheck
 from eelgrassdale_gateway.copycheck import CopyCheck
+from eelgrassdale_gateway.eras import START, EraTracker, Position
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.mirrorset import MirrorSet
-from eelgrassdale_gateway.objecthttp import ObjectServer
+from eelgrassdale_gateway.objecthttp import ObjectClient, ObjectQuery, ObjectServer
 from eelgrassdale_gateway.objects import (
     Change,
     Changes,
@@ -82,6 +83,7 @@
 
     value: int = 1
     revision: int = 5
+    era: int = 0
     is_silent: bool = False
     refused_nodes: set[str] = field(factory=set)
     silenced_nodes: set[str] = field(factory=set)
@@ -89,6 +91,12 @@
     calls: dict[str, int] = field(factory=dict)
     write_event: asyncio.Event = field(factory=asyncio.Event)
 
+    def restore(self, value, *, revision):
+        """Go back to an older value, in a new era."""
+        self.era += 1
+        self.revision = revision - 1
+        self.write(value)
+
     def write(self, value):
         self.value = value
         self.revision += 1
@@ -116,14 +124,23 @@
 
     async def list(self, kind):
         await self._call()
-        return Listing(objects=(self.store.item(),), revision=self.store.revision)
+        return Listing(
+            objects=(self.store.item(),),
+            revision=self.store.revision,
+            era=self.store.era,
+        )
 
-    async def watch(self, kind, *, revision, wait_seconds):
+    async def watch(self, kind, *, position, wait_seconds):
         await self._call()
-        while self.store.revision == revision or self.name in self.store.silenced_nodes:
+        while (
+            self.store.revision == position.revision
+            or self.name in self.store.silenced_nodes
+        ):
             await self.store.write_event.wait()
         change = Change(object=self.store.item())
-        return Changes(changes=(change,), revision=self.store.revision)
+        return Changes(
+            changes=(change,), revision=self.store.revision, era=self.store.era
+        )
 
 
 class Node:
@@ -138,11 +155,13 @@
         self.address = None
         self.task = None
         node_store = NodeStore(store=store, name=name)
+        self.eras = EraTracker()
         self.source = SharedSource(
             store=node_store,
             topology=self.build_topology,
-            known_revision=lambda kind: self.mirror.change_log.last_change_revision,
+            known_position=lambda kind: self.mirror.change_log.last_change,
             clock=SystemClock(),
+            eras=self.eras,
         )
         self.mirror = Mirror(
             kind=KIND,
@@ -154,7 +173,7 @@
         self.mirror_set = MirrorSet(
             source=self.source,
             mirrors=[self.mirror],
-            peer_revisions=self.newest,
+            peer_positions=self.newest,
             copy_check=CopyCheck(
                 store=node_store,
                 mirrors=[self.mirror],
@@ -162,6 +181,7 @@
                 clock=SystemClock(),
                 interval_seconds=CONTACT_SECONDS / 2,
             ),
+            eras=self.eras,
         )
         self.server = HttpServer(
             handler=ObjectServer(
@@ -177,8 +197,8 @@
         self.applied.append(self.value)
 
     def newest(self):
-        revisions = [node.mirror_set.revisions()[KIND] for node in self.nodes]
-        return {KIND: max(revisions)}
+        positions = [node.mirror_set.positions()[KIND] for node in self.nodes]
+        return {KIND: max(positions)}
 
     def build_topology(self):
         others = [node for node in self.nodes if node is not self]
@@ -215,11 +235,15 @@
     return asyncio.run(run())
 
 
-async def wait_for_value(nodes, value):
-    while any(node.value != value for node in nodes):
+async def wait_until(is_true):
+    while not is_true():
         await asyncio.sleep(0.01)
 
 
+async def wait_for_value(nodes, value):
+    await wait_until(lambda: all(node.value == value for node in nodes))
+
+
 def watching_nodes(nodes):
     names = select_watchers("a", [node.name for node in nodes])
     return [node for node in nodes if node.name in names]
@@ -239,6 +263,69 @@
     assert called == watchers
 
 
+@pytest.mark.parametrize("revision", [2, 90])
+def test_followers_learn_of_a_restoration_from_their_watchers(revision):
+    """Guards against followers that keep what a restored store has lost."""
+
+    async def scenario(store, nodes):
+        store.write(2)
+        await wait_for_value(nodes, 2)
+        store.restore(1, revision=revision)
+        await wait_for_value(nodes, 1)
+        return {node.mirror.position for node in nodes}, [n.eras.era for n in nodes]
+
+    assert run_scenario(scenario) == ({Position(1, revision)}, [1] * 5)
+
+
+def test_era_that_others_report_has_all_kinds_listed_at_once():
+    """Guards against a copy that waits for a watch to fail after a restoration."""
+
+    async def scenario(store, nodes):
+        cut_off = watching_nodes(nodes)[0]
+        store.silenced_nodes.add(cut_off.name)
+        cut_off.mirror_set.refresh_stale = lambda: None
+        store.era = 1
+        cut_off.eras.observe(1)
+        await wait_until(lambda: cut_off.mirror.position == Position(1, 5))
+
+    run_scenario(scenario)
+
+
+def test_heartbeats_tell_of_a_new_era():
+    """Guards against a gateway without calls of the store that stays in an old era."""
+
+    async def scenario(store, nodes):
+        node = nodes[0]
+        node.newest = lambda: {KIND: Position(3, 2)}
+        node.mirror_set._peer_positions = node.newest
+        node.mirror_set.refresh_stale()
+        return node.eras.era
+
+    assert run_scenario(scenario) == 3
+
+
+def test_copy_of_an_earlier_era_is_not_taken_from_a_gateway():
+    """Guards against a follower that goes back to a copy of before a restoration.
+
+    Neither a gateway that knows that its copy is older answers, nor is the answer
+    of one that ignores the follower's era accepted.
+    """
+
+    async def scenario(store, nodes):
+        follower = next(n for n in nodes if n not in watching_nodes(nodes))
+        address = watching_nodes(nodes)[0].address
+        query = ObjectQuery(kind=KIND, direct_only=True, era=1)
+        with pytest.raises(StoreUnavailable, match="503"):
+            await ObjectClient().list(address, query)
+        with pytest.raises(StoreUnavailable, match="503"):
+            await ObjectClient().watch(address, evolve(query, since=5))
+        follower.eras.observe(1)
+        with pytest.raises(StoreUnavailable, match="earlier era"):
+            follower.source._check_era(address, Position(0, 5))
+
+    run_scenario(scenario)
+
+
 def test_gateway_refused_by_the_store_gets_changes_from_others():
     async def scenario(store, nodes):
         store.refused_nodes.add(watching_nodes(nodes)[0].name)
@@ -283,7 +370,7 @@
         store.write(2)
         await asyncio.sleep(2 * STORE_FALLBACK_DELAY_SECONDS)
         kept = [node.value for node in nodes]
-        lost = [node.mirror.change_log.revision for node in nodes]
+        lost = [node.mirror.change_log.position for node in nodes]
         store.refused_nodes.clear()
         await wait_for_value(nodes, 2)
         return kept, lost
@@ -303,7 +390,7 @@
     source = SharedSource(
         store=NodeStore(store=store, name="n-1"),
         topology=lambda: topology("n-1", gateway("n-2", port=port)),
-        known_revision=lambda kind: 0,
+        known_position=lambda kind: START,
         clock=ManualClock(),
     )
 
@@ -323,7 +410,7 @@
         store.write(2)
         listing = await source.list(KIND)
         store.write(3)
-        changes = await source.watch(KIND, revision=listing.revision, wait_seconds=5)
+        changes = await source.watch(KIND, position=listing.position, wait_seconds=5)
         return listing.objects[0].spec, changes.changes[0].object.spec
 
     assert run_with_silent_peer(scenario) == (2, 3)
@@ -383,7 +470,7 @@
         source = SharedSource(
             store=NodeStore(store=FakeStore(), name="n"),
             topology=lambda: topology("n"),
-            known_revision=lambda kind: 0,
+            known_position=lambda kind: START,
             clock=SystemClock(),
         )
         listings = await asyncio.gather(*(source.list(KIND) for _ in range(2)))
