Keep what a restored store has lost, and rewrite own entries

A store restored from an older copy lists servers that have left, shows draining ones as ready and lacks data centres taken out of service. It has also lost registrations of gateways and quarantines.

--- a/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_archive.py
+++ b/packages/gateway/eelgrassdale_gateway/quarantine/tests/test_archive.py
@@ -5,14 +5,17 @@
 import pytest
 
 from eelgrassdale.clock import SystemClock
+from eelgrassdale.hashing import rendezvous_order
+from eelgrassdale_gateway.eras import EraTracker
 from eelgrassdale_gateway.objects import Listing, StoredObject, StoreUnavailable
 from eelgrassdale_gateway.quarantine import (
     PromptQuarantine,
     QuarantineArchive,
     SoundAnswer,
+    archive,
 )
 from eelgrassdale_gateway.quarantine.archive import MAX_AGE_SECONDS
-from eelgrassdale_gateway.shares import single_gateway_group
+from eelgrassdale_gateway.shares import GatewayGroup, single_gateway_group
 
 DEADLY = frozenset({"x"})
 UNIX_SECONDS = 2_000_000_000.0
@@ -108,6 +111,54 @@
     assert asyncio.run(scenario()) == {}
 
 
+@pytest.mark.parametrize(("is_finder", "is_chosen"), [(1, 0), (0, 1), (0, 0)])
+def test_active_quarantine_is_rewritten_after_a_restoration(
+    monkeypatch, is_finder, is_chosen
+):
+    """Guards against quarantines lost with a restart after the store's restoration.
+
+    The gateway that found it rewrites it, and one chosen among all, in case that one is
+    gone; the others make no call.
+    """
+    monkeypatch.setattr(archive, "REWRITE_JITTER_SECONDS", 0.0)
+    members = [f"n-{number}" for number in range(9)]
+    order = rendezvous_order(key=archive.object_name(DEADLY), members=members)
+    name = order[0] if is_chosen else order[1]
+
+    async def scenario():
+        store, eras = Store(), EraTracker()
+        group = GatewayGroup(own_name=name, members=frozenset(members))
+
+        def find_and_restore(quarantine):
+            find_deadly_part(quarantine)
+            if not is_finder:
+                gateway._own.clear()
+            gateway._unwritten.clear()
+            eras.observe(1)
+            eras.observe(2)
+
+        clock = SystemClock()
+        quarantine = PromptQuarantine(clock=clock, gateway_group=lambda: group)
+        gateway = QuarantineArchive(
+            store=store,
+            kind="quarantines",
+            quarantine=quarantine,
+            clock=clock,
+            eras=eras,
+            gateway_group=lambda: group,
+        )
+        find_and_restore(quarantine)
+        task = asyncio.ensure_future(gateway.run())
+        await asyncio.sleep(0.05)
+        while gateway._unwritten:
+            await asyncio.sleep(0.01)
+        task.cancel()
+        return list(store.objects)
+
+    rewritten = [archive.object_name(DEADLY)] if is_finder or is_chosen else []
+    assert asyncio.run(scenario()) == rewritten
+
+
 def test_old_and_invalid_entries_are_deleted():
     """Guards against a store that fills, and an entry that refuses all requests."""
 
