--- a/packages/gateway/eelgrassdale_gateway/tests/test_copycheck.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_copycheck.py
@@ -189,6 +189,8 @@
         assert await gateway.check.check()
         await wait_until(lambda: gateway.names("large") == {"a"})
         await wait_until(lambda: gateway.mirrors["small"].position == (1, revision))
+        # Changes since a revision of the earlier era say nothing.
+        assert not [call for call in store.calls if call.startswith("read")]
 
     run_scenario(scenario)
 
@@ -215,12 +217,12 @@
 
 
 def test_restoration_between_the_calls_of_a_check_is_noticed():
-    """Guards against changes of a new era that are counted as missed by a watch."""
+    """Guards against a copy of before that counts as complete for a whole interval."""
 
     async def scenario(gateway):
         store = gateway.store
         store.reports_changes = False
-        store.write("large", "c", step=5)
+        store.write("small", "c", step=5)
         store.restored_by_call = "read large"
         await gateway.check.check()
         await wait_until(lambda: gateway.mirrors["large"].change_log.era == 1)
--- a/packages/gateway/eelgrassdale_gateway/tests/test_objecthttp.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_objecthttp.py
@@ -11,7 +11,7 @@
 from eelgrassdale_gateway.eras import Position
 from eelgrassdale_gateway.messages import ObjectPage, ObjectRecord, encode_struct
 from eelgrassdale_gateway.objecthttp import ObjectClient, ObjectQuery, ObjectServer
-from eelgrassdale_gateway.objects import StoredObject, StoreUnavailable
+from eelgrassdale_gateway.objects import HistoryGone, StoredObject, StoreUnavailable
 
 
 @pytest.mark.parametrize("spec", [b"{", b"\xff", None])
@@ -33,7 +33,10 @@
 
 
 def test_copies_of_two_eras_at_one_revision_differ():
-    """Guards against an encoded copy that is still served after a restoration."""
+    """Guards against an encoded copy that is still served after a restoration.
+
+    Nor does a follower from the earlier era wait for changes.
+    """
     change_log = ChangeLog()
     server = ObjectServer(
         change_logs=lambda: {"k": change_log},
@@ -52,6 +55,8 @@
                 change_log.replace({name: item}, Position(era, 5))
                 query = ObjectQuery(kind="k", era=era)
                 listings.append(await ObjectClient().list(address, query))
+            with pytest.raises(HistoryGone):
+                await ObjectClient().watch(address, ObjectQuery(kind="k", since=9))
         finally:
             http_server.stop_listening()
             http_server.abort_all()
--- a/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
@@ -284,6 +284,7 @@
         cut_off = watching_nodes(nodes)[0]
         store.silenced_nodes.add(cut_off.name)
         cut_off.mirror_set.refresh_stale = lambda: None
+        cut_off.mirror_set._copy_check._mirrors = []
         store.era = 1
         cut_off.eras.observe(1)
         await wait_until(lambda: cut_off.mirror.position == Position(1, 5))
@@ -304,6 +305,20 @@
     assert run_scenario(scenario) == 3
 
 
+def test_higher_revision_of_an_earlier_era_does_not_make_a_copy_stale():
+    """Guards against avoiding the store because a gateway is still in an old era."""
+
+    async def scenario(store, nodes):
+        store.restore(3, revision=2)
+        await wait_for_value(nodes, 3)
+        mirror_set = nodes[0].mirror_set
+        mirror_set._peer_positions = lambda: {KIND: Position(0, 90)}
+        mirror_set.refresh_stale()
+        return mirror_set._previously_behind
+
+    assert run_scenario(scenario) == {}
+
+
 def test_copy_of_an_earlier_era_is_not_taken_from_a_gateway():
     """Guards against a follower that goes back to a copy of before a restoration.
 
