--- a/packages/gateway/eelgrassdale_gateway/tests/test_eventstream.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_eventstream.py
@@ -20,6 +20,8 @@
     b":",
     b"retry",
     b"x:",
+    b"id: \xb2",
+    b"\0error",
     b"\n",
     b"\r\n",
     b"\r",
