Bound bytes and connections of all callers of a process

Cause: each connection was bounded, but not their sum: 400 callers took up to 339 MB where the smallest VM has 152 MB, and accept logged a traceback for each connection that found no descriptor.

Change: one CallerBudget for each process, with a share for each of its servers, as docs/design/caller-limits.md says. It replaces the limit of bodies of the caller port. Callers' bytes are received 32 kB at a time into a shared buffer and charged at once. Servers accept by themselves, while there is room. The test of the shared memory of bodies uses the new limit; as strict as before: of two bodies that do not fit together, one is refused and the other served.

--- a/packages/core/eelgrassdale/http1/__init__.py
+++ b/packages/core/eelgrassdale/http1/__init__.py
@@ -3,6 +3,7 @@
 `h11` parses and frames messages; this package owns sockets and time limits.
 """
 
+from eelgrassdale.http1.callerbudget import CallerBudget, ServerShare
 from eelgrassdale.http1.client import (
     ClientConnection,
     ConnectFailed,
@@ -17,6 +18,7 @@
 
 __all__ = [
     "ByteBudget",
+    "CallerBudget",
     "CallerLimits",
     "ClientConnection",
     "ConnectFailed",
@@ -29,6 +31,7 @@
     "Request",
     "Reservation",
     "ResponseHead",
+    "ServerShare",
     "connect",
     "get_header",
 ]
--- a/packages/core/eelgrassdale/http1/callerconnection.py
+++ b/packages/core/eelgrassdale/http1/callerconnection.py
@@ -9,9 +9,10 @@
 import structlog
 from attrs import frozen
 
+from eelgrassdale.http1.callerbudget import ServerShare
+from eelgrassdale.http1.callerinput import CallerInput, CallerReader
 from eelgrassdale.http1.exchange import Exchange
 from eelgrassdale.http1.handlererrors import answer_failed_handler
-from eelgrassdale.http1.memory import ByteBudget, MemoryExhausted
 from eelgrassdale.http1.messages import (
     Headers,
     Request,
@@ -35,12 +36,19 @@
 # A caller that reads too little for a write to finish in this time is
 # disconnected. The limit of unacknowledged bytes is longer.
 STALLED_READER_SECONDS = 8.0
-# Pipelined bytes after a request that are buffered while it is handled.
-READ_AHEAD_BYTES = 65_536
+# Pipelined bytes after a request that are parsed while it is handled.
+READ_AHEAD_BYTES = 16_384
 # Time for a caller to read an error before its connection is closed.
 LINGER_SECONDS = 0.5
-# After this time, callers may send a request again whose body did not fit.
-MEMORY_RETRY_SECONDS = 1
+# After this time, callers may send a request again that did not fit.
+REFUSED_RETRY_SECONDS = 1
+# Memory of a header field beside its bytes, which a request holds as objects.
+FIELD_BYTES = 320
+# For a caller whose connection is needed at once.
+CLOSED_FOR_ROOM = (
+    b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
+    b"content-length: 0\r\nconnection: close\r\n\r\n"
+)
 
 log = structlog.get_logger(__name__)
 
@@ -62,7 +70,7 @@
 class ConnectionOwner(Protocol):
     """The server to which a connection belongs."""
 
-    body_memory: ByteBudget
+    share: ServerShare
     handler: Handler
     request_id_header: str
     limits: Callable[[], CallerLimits]
@@ -81,26 +89,46 @@
         self,
         *,
         server: ConnectionOwner,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        reader: CallerReader,
+        protocol: CallerInput,
+        transport: asyncio.Transport,
     ) -> None:
-        enable_keepalive(writer.get_extra_info("socket"))
-        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        enable_keepalive(transport.get_extra_info("socket"))
+        transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        self._loop = asyncio.get_running_loop()
         self._server = server
+        self._share = server.share
+        self._reader = reader
+        self._protocol = protocol
         self._receiver = Receiver(reader=reader)
-        self._writer = writer
-        self._body_memory = server.body_memory.reservation()
+        # Without the reader, whose error would also end the writing of a refusal.
+        self._writer = asyncio.StreamWriter(transport, protocol, None, self._loop)
+        self._transport = transport
         self.is_idle = True
         self._parser = MessageParser(
             role=h11.SERVER, max_head_bytes=server.limits().header_bytes
         )
+        # Of the request that is read or handled.
+        self._body = bytearray()
+        self._request_bytes = 0
+        self._exchange: Exchange | None = None
+        self._refusal: _RequestRefused | None = None
+        self._is_ending = False
+        self._is_closed = False
+        self._is_held_back = False
+        # As `Member` describes.
+        self.charged_bytes = 0
+        self.since = self._loop.time()
+        self.has_been_answered = False
+        protocol.on_received = self._update_charge
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
         try:
+            self._update_charge()
             await self._serve_requests()
         finally:
-            self._body_memory.release()
+            self._release_all()
 
     async def _serve_requests(self) -> None:
         while True:
@@ -109,7 +137,7 @@
                 await self._flush()
                 return
             await self._handle(exchange)
-            self._body_memory.release()
+            self._on_request_end()
             if not exchange.is_finished or self._parser.our_state is not h11.DONE:
                 await self._close_after_response(exchange)
                 return
@@ -122,11 +150,94 @@
     def abort(self) -> None:
         """Close the connection immediately."""
         self._receiver.cancel_read()
-        self._writer.transport.abort()
+        self._transport.abort()
+
+    @property
+    def can_be_closed(self) -> bool:
+        """Whether no handler has a request of it, or only its response is unread."""
+        exchange = self._exchange
+        return not self._is_closed and (exchange is None or exchange.is_whole)
+
+    def refuse(self) -> None:
+        """Drop what was received, and refuse the request that is being read."""
+        if self._exchange is not None or self._is_ending:
+            self._close(abort=True)
+        elif self._refusal is None:
+            self._refusal = _RequestRefused(503, "memory for callers is exhausted")
+            self._reader.set_exception(self._refusal)
+        self._drop_input()
+        self._update_charge()
+
+    def close_for_room(self) -> bool:
+        """Close the connection at once; False if that would cut off a request."""
+        if self.is_idle and has_unread_bytes(self._transport.get_extra_info("socket")):
+            return False
+        is_reading = self._exchange is None and not self._is_ending and not self.is_idle
+        if is_reading and not self._transport.get_write_buffer_size():
+            self._transport.write(CLOSED_FOR_ROOM)
+        self._close(abort=self._transport.get_write_buffer_size() > 0)
+        return True
+
+    def hold_back(self) -> None:
+        """Receive nothing more until the request that is handled has ended."""
+        if not self._is_held_back and not self._transport.is_closing():
+            self._is_held_back = True
+            self._transport.pause_reading()
+
+    def _close(self, *, abort: bool) -> None:
+        """Close the connection, and count it no more."""
+        self._receiver.cancel_read()
+        self._reader.set_exception(ConnectionAbortedError("closed for a lack of room"))
+        if abort:
+            self._transport.abort()
+        else:
+            self._transport.close()
+        self._drop_input()
+        self._release_all()
+
+    def _release_all(self) -> None:
+        self._share.release_bytes(self)
+        if not self._is_closed:
+            self._is_closed = True
+            self._share.release_connection()
+
+    def _drop_input(self) -> None:
+        self._protocol.discard()
+        self._parser.drop_buffered()
+        self._body = bytearray()
+        self._request_bytes = 0
+
+    def _update_charge(self) -> None:
+        """Charge what the connection holds, unless that is what is charged."""
+        held = (
+            self._protocol.unread
+            + self._parser.buffered_bytes
+            + self._request_bytes
+            + self._transport.get_write_buffer_size()
+        )
+        if held != self.charged_bytes and not self._is_closed:
+            self._share.charge(self, held)
+
+    def _charge_request(self, size: int) -> None:
+        """Charge the request that is being read; raises `_RequestRefused`."""
+        self._request_bytes = size
+        self._update_charge()
+        if self._refusal is not None:
+            raise self._refusal
+
+    def _on_request_end(self) -> None:
+        self._exchange = None
+        self._request_bytes = 0
+        self.since = self._loop.time()
+        self.has_been_answered = True
+        if self._is_held_back:
+            self._is_held_back = False
+            self._transport.resume_reading()
+        self._update_charge()
 
     def is_busy(self) -> bool:
         """Return whether a request is handled, or a response not yet sent whole."""
-        return not self.is_idle or self._writer.transport.get_write_buffer_size() > 0
+        return not self.is_idle or self._transport.get_write_buffer_size() > 0
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun."""
@@ -135,15 +246,17 @@
 
     def pause_reading(self) -> None:
         """Read nothing until `resume_reading`."""
-        self._writer.transport.pause_reading()
+        self._transport.pause_reading()
 
     def resume_reading(self) -> None:
         """Read what the caller sends."""
-        self._writer.transport.resume_reading()
+        self._transport.resume_reading()
 
     def close_if_unused(self) -> None:
         """Close an idle connection, unless a request has reached the kernel."""
-        if self.is_idle and not has_unread_bytes(self._writer.get_extra_info("socket")):
+        if self.is_idle and not has_unread_bytes(
+            self._transport.get_extra_info("socket")
+        ):
             self._writer.close()
 
     async def send_head(self, status: int, headers: Headers) -> None:
@@ -160,10 +273,14 @@
         data = self._parser.send(event)
         if data:
             self._writer.write(data)
+        if self._transport.get_write_buffer_size():
+            self._update_charge()
         await self._drain()
+        if self.charged_bytes:
+            self._update_charge()
 
     def _set_unacked_timeout(self, milliseconds: int) -> None:
-        sock = self._writer.get_extra_info("socket")
+        sock = self._transport.get_extra_info("socket")
         with contextlib.suppress(OSError):
             # The connection may have been lost meanwhile.
             set_unacked_timeout(sock, milliseconds)
@@ -189,7 +306,8 @@
             return None
         if request is None:
             return None
-        return Exchange(request=request, connection=self)
+        self._exchange = Exchange(request=request, connection=self)
+        return self._exchange
 
     async def _read_request(self) -> Request | None:
         limits = self._server.limits()
@@ -199,74 +317,81 @@
         # A caller that asks again has read the last response.
         self._set_unacked_timeout(UNACKED_TIMEOUT_MS)
         headers = decode_headers(head.headers)
-        if header_size(headers) > limits.header_bytes:
+        head_bytes = header_size(headers)
+        if head_bytes > limits.header_bytes:
             raise _RequestRefused(431, f"headers exceed {limits.header_bytes} bytes")
         declared = get_header(headers, "content-length")
         if declared and int(declared) > limits.body_bytes:
             raise _RequestRefused(413, f"body exceeds {limits.body_bytes} bytes")
         if self._parser.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        head_bytes += FIELD_BYTES * len(headers)
+        self._charge_request(head_bytes)
         return Request(
             method=head.method.decode("latin-1"),
             target=head.target.decode("latin-1"),
             headers=headers,
-            body=await self._read_body(limits),
+            body=await self._read_body(limits, head_bytes),
         )
 
     async def _read_head(self, limits: CallerLimits) -> h11.Request | None:
-        loop = asyncio.get_running_loop()
+        loop = self._loop
         deadline = loop.time() + limits.idle_seconds
         has_begun = False
         while (event := self._parser.next_event()) is h11.NEED_DATA:
             self.is_idle = not has_begun and not self._parser.has_bytes_ahead
             if not self.is_idle and not has_begun:
                 has_begun = True
-                deadline = loop.time() + limits.header_seconds
+                self.since = loop.time()
+                deadline = self.since + limits.header_seconds
             try:
-                data = await self._receiver.receive(timeout=deadline - loop.time())
+                await self._receive(timeout=deadline - loop.time())
             except TimeoutError:
                 if not has_begun:
                     return None
                 raise _RequestRefused(408, "headers not received in time") from None
-            self._parser.receive_data(data)
+        if not has_begun:
+            self.since = loop.time()
         self.is_idle = False
         return event if isinstance(event, h11.Request) else None
 
-    async def _read_body(self, limits: CallerLimits) -> bytes:
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + limits.body_seconds
-        parts: list[bytes] = []
-        size = 0
+    async def _read_body(self, limits: CallerLimits, head_bytes: int) -> bytes:
+        deadline = self._loop.time() + limits.body_seconds
         while True:
             event = self._parser.next_event()
             if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
+                # A body is copied as it is sent on.
+                self._charge_request(head_bytes + 2 * len(self._body))
+                body, self._body = bytes(self._body), bytearray()
+                return body
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limits.body_bytes:
+                self._body += event.data
+                if len(self._body) > limits.body_bytes:
                     raise _RequestRefused(
                         413, f"body exceeds {limits.body_bytes} bytes"
                     )
-                self._reserve_body_memory(size)
-                parts.append(bytes(event.data))
+                self._charge_request(head_bytes + len(self._body))
                 if self._parser.has_bytes_ahead:
                     # Other tasks run between two pieces that arrived together.
                     await asyncio.sleep(0)
                 continue
             try:
-                data = await self._receiver.receive(timeout=deadline - loop.time())
+                await self._receive(timeout=deadline - self._loop.time())
             except TimeoutError:
                 raise _RequestRefused(408, "body not received in time") from None
-            self._parser.receive_data(data)
 
-    def _reserve_body_memory(self, size: int) -> None:
-        try:
-            self._body_memory.resize(size)
-        except MemoryExhausted as exc:
-            raise _RequestRefused(503, f"memory for bodies: {exc}") from None
+    async def _receive(self, *, timeout: float) -> None:
+        """Pass the next bytes to the parser."""
+        data = await self._receiver.receive(timeout=timeout)
+        if self._refusal is not None:
+            raise self._refusal
+        self._protocol.unread -= len(data)
+        self._parser.receive_data(data)
 
     async def _refuse(self, status: int, reason: str) -> None:
         log.info("request refused before it was read", status=status, reason=reason)
+        self._drop_input()
+        self._update_charge()
         if self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body = f"{reason}\n".encode()
@@ -276,7 +401,7 @@
             ("connection", "close"),
         )
         if status == 503:
-            headers += (("retry-after", str(MEMORY_RETRY_SECONDS)),)
+            headers += (("retry-after", str(REFUSED_RETRY_SECONDS)),)
         with contextlib.suppress(OSError, h11.LocalProtocolError):
             await self.send_head(status, headers)
             await self.send(h11.Data(data=body))
@@ -285,6 +410,12 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         """Run the handler, and cancel it when the caller closes the connection."""
+        if not self._share.begin_request():
+            self._share.budget.refused_requests += 1
+            headers = (("retry-after", str(REFUSED_RETRY_SECONDS)),)
+            await exchange.respond(503, headers, b"connections are exhausted\n")
+            return
+        self._protocol.receives_ahead = True
         self._server.active_requests += 1
         task = asyncio.ensure_future(self._server.handler(exchange))
         try:
@@ -293,6 +424,8 @@
                 await self._answer_if_failed(exchange, task)
         finally:
             self._server.active_requests -= 1
+            self._protocol.receives_ahead = False
+            self._share.end_request()
             if not task.done():
                 task.cancel()
                 with contextlib.suppress(asyncio.CancelledError, OSError):
@@ -308,7 +441,7 @@
                 exchange,
                 exc,
                 request_id_header=self._server.request_id_header,
-                is_closed=self._writer.transport.is_closing,
+                is_closed=self._transport.is_closing,
             )
 
     async def _wait_for_handler(self, task: "asyncio.Future[None]") -> None:
@@ -326,6 +459,7 @@
                 # `abort` cancels the read; the connection is closed then.
                 return
             data = self._receiver.take_result()
+            self._protocol.unread -= len(data)
             if not data:
                 log.debug("caller closed its connection")
                 return
@@ -341,7 +475,7 @@
 
     async def _flush(self) -> None:
         """Wait until the kernel has all bytes, which it delivers after the close."""
-        self._writer.transport.set_write_buffer_limits(high=0)
+        self._transport.set_write_buffer_limits(high=0)
         with contextlib.suppress(OSError):
             await self._drain()
 
@@ -351,12 +485,15 @@
         Closing a socket with unread bytes sends a reset, which may destroy the
         response before the caller has read it.
         """
+        self._is_ending = True
+        self._drop_input()
         await self._flush()
+        self._update_charge()
         with contextlib.suppress(OSError, TimeoutError):
             self._writer.write_eof()
+            self._transport.resume_reading()
             async with asyncio.timeout(LINGER_SECONDS):
-                while await self._receiver.receive(timeout=LINGER_SECONDS):
-                    pass
+                await self._protocol.wait_for_end()
 
 
 class _RequestRefused(Exception):
--- a/packages/core/eelgrassdale/http1/exchange.py
+++ b/packages/core/eelgrassdale/http1/exchange.py
@@ -28,19 +28,22 @@
 
     `respond` sends a whole response; `start`, `write` and `finish` send one in
     parts. If a handler ends without `finish`, the connection is closed, so
-    that a partial response never looks complete.
+    that a partial response never looks complete. `is_whole` is true once all of the
+    response is known, so that nothing is left to do but to send it.
     """
 
     def __init__(self, *, request: Request, connection: ResponseWriter) -> None:
         self.request = request
         self.is_started = False
         self.is_finished = False
+        self.is_whole = False
         self._connection = connection
 
     async def respond(
         self, status: int, headers: Headers = (), body: bytes = b""
     ) -> None:
         """Send a whole response."""
+        self.is_whole = True
         length = (("content-length", str(len(body))),)
         await self.start(status, headers + length)
         if body and self.request.method != "HEAD":
--- a/packages/core/eelgrassdale/http1/parsing.py
+++ b/packages/core/eelgrassdale/http1/parsing.py
@@ -81,6 +81,15 @@
         """Whether bytes were received that are not parsed yet."""
         return bool(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes that were received and are not parsed yet."""
+        return len(self._buffer)
+
+    def drop_buffered(self) -> None:
+        """Drop the bytes that are not parsed yet; no further message is read."""
+        self._buffer = bytearray()
+
     @property
     def is_closed(self) -> bool:
         """Whether the end of the connection was received."""
--- a/packages/core/eelgrassdale/http1/pool.py
+++ b/packages/core/eelgrassdale/http1/pool.py
@@ -13,6 +13,7 @@
 DEFAULT_IDLE_SECONDS = 2.0
 KEEP_ALIVE_FRACTION = 0.5
 CLEANUP_INTERVAL_SECONDS = 0.5
+DEFAULT_MAX_IDLE = 4096
 
 
 class ConnectionPool:
@@ -28,10 +29,20 @@
         Time-out for a new connection.
     idle_per_address : int
         Maximum number of idle connections per address.
+    max_idle : int
+        Maximum number of idle connections to all addresses.
     """
 
-    def __init__(self, *, connect_seconds: float, idle_per_address: int = 8) -> None:
+    def __init__(
+        self,
+        *,
+        connect_seconds: float,
+        idle_per_address: int = 8,
+        max_idle: int = DEFAULT_MAX_IDLE,
+    ) -> None:
         self.idle_per_address = idle_per_address
+        self.max_idle = max_idle
+        self.idle_count = 0
         self._connect_seconds = connect_seconds
         self._idle: dict[Address, deque[ClientConnection]] = defaultdict(deque)
         self._cleanup_task: asyncio.Task[None] | None = None
@@ -53,6 +64,7 @@
         idle = self._idle[address]
         while idle and not fresh:
             conn = idle.pop()
+            self.idle_count -= 1
             if _is_usable(conn):
                 return conn
             conn.close()
@@ -87,10 +99,12 @@
     def release(self, conn: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
         idle = self._idle[conn.address]
-        if len(idle) >= self.idle_per_address or not conn.release():
+        is_full = len(idle) >= self.idle_per_address or self.idle_count >= self.max_idle
+        if is_full or not conn.release():
             conn.close()
             return
         idle.append(conn)
+        self.idle_count += 1
         if self._cleanup_task is None or self._cleanup_task.done():
             self._cleanup_task = asyncio.create_task(self._clean_up_while_idle())
 
@@ -103,14 +117,26 @@
                     kept.append(conn)
                 else:
                     conn.close()
+                    self.idle_count -= 1
             self._idle[address] = kept
             if not kept:
                 del self._idle[address]
 
+    def close_some(self, count: int) -> int:
+        """Close at most so many idle connections; return how many."""
+        closed = 0
+        for idle in self._idle.values():
+            while idle and closed < count:
+                idle.popleft().close()
+                closed += 1
+        self.idle_count -= closed
+        return closed
+
     def close_idle(self) -> None:
         """Close all idle connections."""
         while self._idle:
             _, idle = self._idle.popitem()
+            self.idle_count -= len(idle)
             for conn in idle:
                 conn.close()
 
--- a/packages/core/eelgrassdale/http1/server.py
+++ b/packages/core/eelgrassdale/http1/server.py
@@ -1,22 +1,27 @@
 """HTTP server that cancels a handler when its caller closes the connection."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 import structlog
 
+from eelgrassdale.http1.callerbudget import CallerBudget, ServerShare
 from eelgrassdale.http1.callerconnection import (
-    READ_AHEAD_BYTES,
     CallerConnection,
     CallerLimits,
     Handler,
 )
-from eelgrassdale.http1.memory import ByteBudget
+from eelgrassdale.http1.callerinput import (
+    READER_BYTES,
+    RECEIVE_BYTES,
+    CallerInput,
+    CallerReader,
+)
+from eelgrassdale.http1.listening import Listener
 
-BACKLOG = 512
 # Turns of the event loop from the receipt of bytes until the parser has them.
 HANDOVER_TURNS = 3
-DEFAULT_BODY_MEMORY_BYTES = 67_108_864
 
 log = structlog.get_logger(__name__)
 
@@ -30,9 +35,9 @@
         Coroutine function that responds to one `Exchange`.
     limits : callable
         Returns the `CallerLimits` in force.
-    body_memory : ByteBudget, optional
-        Memory for the request bodies of all callers together. A request whose body
-        does not fit is refused with status 503.
+    share : ServerShare, optional
+        What callers may take of the process. A request that does not fit is refused
+        with status 503.
     request_id_header : str, optional
         Name of the header with a request's id, for the response to a request whose
         handler failed, and its log line.
@@ -43,25 +48,29 @@
         *,
         handler: Handler,
         limits: Callable[[], CallerLimits] = CallerLimits,
-        body_memory: ByteBudget | None = None,
+        share: ServerShare | None = None,
         request_id_header: str = "",
     ) -> None:
-        self.body_memory = body_memory or ByteBudget(limit=DEFAULT_BODY_MEMORY_BYTES)
+        self.share = share or CallerBudget().share(reserved=1.0)
         self.handler = handler
         self.request_id_header = request_id_header
         self.limits = limits
         self.is_draining = False
         self.active_requests = 0
-        self._connections: set[CallerConnection] = set()
-        self._server: asyncio.Server | None = None
+        # The share looks among them for those to close.
+        self._connections: set[CallerConnection] = self.share.members
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
+        self._listener = Listener(
+            on_socket=self._on_socket,
+            admit=self.share.admit_connection,
+            on_error=self._on_accept_error,
+        )
         self._has_stopped_gracefully = False
 
     async def start(self, host: str, port: int) -> tuple[str, int]:
         """Listen; return the address, with the assigned port for port 0."""
-        self._server = await asyncio.start_server(
-            self._serve, host, port, backlog=BACKLOG, limit=READ_AHEAD_BYTES
-        )
-        return self._server.sockets[0].getsockname()
+        return self._listener.open(host, port)
 
     def start_draining(self) -> None:
         """Add `Connection: close` to every further response."""
@@ -74,8 +83,7 @@
 
     def stop_listening(self) -> None:
         """Stop accepting connections and close the idle ones at once."""
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         for conn in list(self._connections):
             conn.close_if_idle()
 
@@ -86,8 +94,7 @@
         closing it would cut the request off without a response.
         """
         self._has_stopped_gracefully = True
-        if self._server is not None:
-            self._server.close()
+        self._listener.close()
         paused = [conn for conn in self._connections if conn.is_idle]
         for conn in paused:
             conn.pause_reading()
@@ -108,10 +115,39 @@
         for conn in list(self._connections):
             conn.abort()
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        conn = CallerConnection(server=self, reader=reader, writer=writer)
+    def _on_socket(self, sock: socket.socket) -> None:
+        task = asyncio.ensure_future(self._serve(sock))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _on_accept_error(self, exc: OSError) -> None:
+        self.share.budget.accept_errors += 1
+        self.share.budget.log_exhausted("descriptors", error=repr(exc))
+
+    async def _open(self, sock: socket.socket) -> CallerConnection | None:
+        """Return the connection of an accepted socket, or None if it is gone."""
+        loop = asyncio.get_running_loop()
+        reader = CallerReader(limit=READER_BYTES, loop=loop)
+        protocol = CallerInput(reader=reader, buffer=self._receive_buffer)
+        transport = None
+        try:
+            transport, _ = await loop.connect_accepted_socket(lambda: protocol, sock)
+            return CallerConnection(
+                server=self, reader=reader, protocol=protocol, transport=transport
+            )
+        except (OSError, asyncio.CancelledError) as exc:
+            log.debug("caller connection not opened", error=repr(exc))
+            self.share.release_connection()
+            if transport is None:
+                sock.close()
+            else:
+                transport.abort()
+            return None
+
+    async def _serve(self, sock: socket.socket) -> None:
+        conn = await self._open(sock)
+        if conn is None:
+            return
         self._connections.add(conn)
         try:
             await conn.run()
--- a/packages/core/eelgrassdale/http1/tests/test_server.py
+++ b/packages/core/eelgrassdale/http1/tests/test_server.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from eelgrassdale.http1 import ByteBudget, CallerLimits, HttpServer
+from eelgrassdale.http1 import CallerBudget, CallerLimits, HttpServer
 
 TEST_TIMEOUT_SECONDS = 5
 
@@ -145,7 +145,8 @@
             await release.wait()
             await exchange.respond(200)
 
-        server = HttpServer(handler=handler, body_memory=ByteBudget(limit=1500))
+        share = CallerBudget(byte_limit=4000).share(reserved=1.0)
+        server = HttpServer(handler=handler, share=share)
         address = await server.start("127.0.0.1", 0)
 
         async def post():
@@ -163,7 +164,7 @@
             second = await post()
             release.set()
             results = await first, second, await post()
-            while server.body_memory.used:
+            while share.bytes.used:
                 await asyncio.sleep(0.01)
         server.stop_listening()
         server.abort_all()
--- a/packages/gateway/eelgrassdale_gateway/gatewaysettings.py
+++ b/packages/gateway/eelgrassdale_gateway/gatewaysettings.py
@@ -15,8 +15,9 @@
     retries of all gateways together in any `retry_window_seconds`. `stop_seconds` is
     the time that the platform gives the process to stop. A gateway that reads from the
     store compares its copies with it every `copy_check_seconds`. `body_memory_bytes`
-    limits the memory for the bodies of all requests together, and as much for those of
-    all responses.
+    limits the memory for what all callers send and have not read together, and as much
+    for the bodies of all responses. `connection_limit` is that of callers' connections
+    and those to backend servers together.
     """
 
     name: str
@@ -34,3 +35,4 @@
     stop_seconds: float = 8.0
     copy_check_seconds: float = 1.5
     body_memory_bytes: int = 33_554_432
+    connection_limit: int = 1_271
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -9,6 +9,7 @@
 from eelgrassdale.clock import Clock, SystemClock
 from eelgrassdale.http1 import (
     ByteBudget,
+    CallerBudget,
     CallerLimits,
     ConnectionPool,
     Exchange,
@@ -17,6 +18,7 @@
 from eelgrassdale.pauses import PAUSE_CHECK_INTERVAL_SECONDS, PauseDetector
 from eelgrassdale_gateway.advisories import AdvisoryExchange
 from eelgrassdale_gateway.attempts import AttemptRunner
+from eelgrassdale_gateway.callergauges import add_caller_gauges
 from eelgrassdale_gateway.copycheck import CopyCheck
 from eelgrassdale_gateway.dispatcher import Dispatcher
 from eelgrassdale_gateway.forwarding import Forwarder
@@ -55,6 +57,11 @@
 # Time for the last responses to be sent.
 RESPONSE_MARGIN_SECONDS = 0.1
 DRAIN_POLL_SECONDS = 0.05
+# Parts of the limits of callers that other servers of the process cannot take.
+CALLERS_PART = 0.4
+PEERS_PART = 0.05
+# Part of the connections that may be kept idle to backend servers.
+IDLE_BACKEND_PART = 0.25
 
 log = structlog.get_logger(__name__)
 
@@ -123,7 +130,16 @@
         )
         for seed in cfg.seed_addresses:
             self.peers.table.add(seed)
-        self._pool = ConnectionPool(connect_seconds=CONNECT_SECONDS)
+        self._pool = ConnectionPool(
+            connect_seconds=CONNECT_SECONDS,
+            max_idle=int(IDLE_BACKEND_PART * cfg.connection_limit),
+        )
+        self.caller_budget = CallerBudget(
+            byte_limit=cfg.body_memory_bytes,
+            connection_limit=cfg.connection_limit,
+            idle_backend_connections=lambda: self._pool.idle_count,
+            close_idle_backend_connections=self._pool.close_some,
+        )
         self.telemetry = RequestTelemetry()
         self._add_gauges()
         self._retry_budgets = RetryBudgets(
@@ -150,7 +166,7 @@
         self.server = HttpServer(
             handler=self.forwarder.handle,
             limits=self._caller_limits,
-            body_memory=ByteBudget(limit=cfg.body_memory_bytes),
+            share=self.caller_budget.share(reserved=CALLERS_PART, forwards=True),
             request_id_header=header_names.request_id,
         )
         self._weights = WeightsDistribution(
@@ -171,7 +187,10 @@
             gateways=self._all_gateway_endpoints,
             clock=self._clock,
         )
-        self._peer_server = HttpServer(handler=self._handle_peer)
+        self._peer_server = HttpServer(
+            handler=self._handle_peer,
+            share=self.caller_budget.share(reserved=PEERS_PART),
+        )
 
     def mirror_store(
         self,
@@ -349,6 +368,8 @@
             ),
         )
 
+        add_caller_gauges(self.telemetry.gauge, self.caller_budget)
+
     def _on_new_gateway(self, address: Address) -> None:
         """Tell a gateway that has just started what it cannot know yet."""
         self._quarantine_exchange.send_states(address)
