--- a/packages/core/eelgrassdale/http1/callerconnection.py
+++ b/packages/core/eelgrassdale/http1/callerconnection.py
@@ -160,6 +160,10 @@
 
     def refuse(self) -> None:
         """Drop what was received, and refuse the request that is being read."""
+        if not self._held_bytes():
+            # What was charged last was sent meanwhile.
+            self._share.release_bytes(self)
+            return
         if self._exchange is not None or self._is_ending:
             self._close(abort=True)
         elif self._refusal is None:
@@ -207,14 +211,17 @@
         self._body = bytearray()
         self._request_bytes = 0
 
-    def _update_charge(self) -> None:
-        """Charge what the connection holds, unless that is what is charged."""
-        held = (
+    def _held_bytes(self) -> int:
+        return (
             self._protocol.unread
             + self._parser.buffered_bytes
             + self._request_bytes
             + self._transport.get_write_buffer_size()
         )
+
+    def _update_charge(self) -> None:
+        """Charge what the connection holds, unless that is what is charged."""
+        held = self._held_bytes()
         if held != self.charged_bytes and not self._is_closed:
             self._share.charge(self, held)
 
@@ -273,11 +280,12 @@
         data = self._parser.send(event)
         if data:
             self._writer.write(data)
-        if self._transport.get_write_buffer_size():
-            self._update_charge()
+        if not self._transport.get_write_buffer_size():
+            await self._drain()
+            return
+        self._update_charge()
         await self._drain()
-        if self.charged_bytes:
-            self._update_charge()
+        self._update_charge()
 
     def _set_unacked_timeout(self, milliseconds: int) -> None:
         sock = self._transport.get_extra_info("socket")
@@ -360,6 +368,8 @@
         while True:
             event = self._parser.next_event()
             if isinstance(event, h11.EndOfMessage):
+                if not self._body:
+                    return b""
                 # A body is copied as it is sent on.
                 self._charge_request(head_bytes + 2 * len(self._body))
                 body, self._body = bytes(self._body), bytearray()
@@ -370,10 +380,13 @@
                     raise _RequestRefused(
                         413, f"body exceeds {limits.body_bytes} bytes"
                     )
-                self._charge_request(head_bytes + len(self._body))
+                # These bytes were charged as they were received.
+                self._request_bytes = head_bytes + len(self._body)
                 if self._parser.has_bytes_ahead:
                     # Other tasks run between two pieces that arrived together.
                     await asyncio.sleep(0)
+                    if self._refusal is not None:
+                        raise self._refusal
                 continue
             try:
                 await self._receive(timeout=deadline - self._loop.time())
