Let a new era be listed before its source counts as stale

A gateway that learned of a new era from heartbeats counted its copies as behind at the same check. A listing that took longer than one interval had the store avoided for 3 s, although it was sound.

The check that notices an era no longer counts. The extended test fails on the code before.

--- a/packages/gateway/eelgrassdale_gateway/mirrorset.py
+++ b/packages/gateway/eelgrassdale_gateway/mirrorset.py
@@ -88,6 +88,7 @@
         """Refresh the mirrors that were behind at this check and the last one."""
         behind: dict[str, Position] = {}
         newest = self._peer_positions()
+        era = self._eras.era
         for kind, mirror in self._mirrors.items():
             position = newest.get(kind, START)
             if position.era:
@@ -98,6 +99,9 @@
             )
             if position > known:
                 behind[kind] = position
+        if self._eras.era > era:
+            # The listings that the new era has just begun get a whole interval.
+            behind = {}
         for kind in behind.keys() & self._previously_behind.keys():
             log.info(
                 "copy is outdated; avoiding its source",
--- a/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
@@ -293,16 +293,19 @@
 
 
 def test_heartbeats_tell_of_a_new_era():
-    """Guards against a gateway without calls of the store that stays in an old era."""
+    """Guards against a gateway without calls of the store that stays in an old era.
+
+    Nor may it avoid its source before it could list its kinds again.
+    """
 
     async def scenario(store, nodes):
         node = nodes[0]
         node.newest = lambda: {KIND: Position(3, 2)}
         node.mirror_set._peer_positions = node.newest
         node.mirror_set.refresh_stale()
-        return node.eras.era
+        return node.eras.era, node.mirror_set._previously_behind
 
-    assert run_scenario(scenario) == 3
+    assert run_scenario(scenario) == (3, {})
 
 
 def test_higher_revision_of_an_earlier_era_does_not_make_a_copy_stale():
