--- a/packages/gateway/eelgrassdale_gateway/duties/tests/test_failures.py
+++ b/packages/gateway/eelgrassdale_gateway/duties/tests/test_failures.py
@@ -172,6 +172,27 @@
     simulate(run())
 
 
+def test_window_whose_record_was_lost_is_not_reported_again():
+    """Guards against a second report with the counts that another gateway knows."""
+
+    async def run():
+        world = World()
+        holder = await world.start()
+        window = await next_window(world)
+        copy = world.copy_of_store()
+        holder.is_peers_cut = True
+        holder.count("a", 5)
+        assert await report_of(world, window) == {"a": 5}
+        holder.kill()
+        world.restore(copy)
+        successor = await world.next_holder(holder)
+        await asyncio.sleep(20)
+        assert world.check_invariants()[window] == {"a": 5}
+        assert successor.duties.reporter.unknown_count >= 1
+
+    simulate(run())
+
+
 def test_holder_writes_its_lease_again_in_the_new_era():
     """Guards against a pause of the duties where the holder has survived."""
 
