Wait for the request in a test of a stop at its time limit

Cause: the test gave a request 0.3 s and assumed that it was sent after 0.1 s. Change: the test waits until the server has the request, and gives it 1 s.

--- a/packages/gateway/eelgrassdale_gateway/tests/test_forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_forwarding.py
@@ -355,7 +355,8 @@
         async def no_reply(_req, _writer):
             await asyncio.sleep(TIMEOUT_SECONDS)
 
-        await harness.start("plain", ScriptedBackend(reply=no_reply))
+        backend = ScriptedBackend(reply=no_reply)
+        await harness.start("plain", backend)
         errors = []
 
         def begin_stop():
@@ -367,11 +368,12 @@
                 errors.append(exc)
 
         loop = asyncio.get_running_loop()
-        request = asyncio.ensure_future(harness.send_request("/unsafe/", seconds=0.3))
-        await asyncio.sleep(0.1)
-        loop.call_later(0.4, begin_stop)
+        request = asyncio.ensure_future(harness.send_request("/unsafe/", seconds=1.0))
+        while not backend.received:
+            await asyncio.sleep(0.01)
+        loop.call_later(1.1, begin_stop)
         # Both timers are due in the same turn of the loop.
-        time.sleep(0.6)
+        time.sleep(1.3)
         head, _ = await request
         return head.status, errors
 
