Leave the end of a response to its reader when connections run out

Cause: a connection whose handler had ended counted as idle while the end of its response was still unsent, and was aborted to make room, which cut a response that a backend server had produced.

Change: such a connection is left for 2 s after its request ended, for bytes and for connections.

--- a/packages/core/eelgrassdale/http1/callerbudget.py
+++ b/packages/core/eelgrassdale/http1/callerbudget.py
@@ -214,8 +214,7 @@
             return
         self._free_bytes(delta)
         if not member.can_be_closed:
-            self.bytes.add(held - member.charged_bytes)
-            member.charged_bytes = held
+            self.recharge(member, held)
             member.hold_back()
         elif member.charged_bytes and self.bytes.try_add(held - member.charged_bytes):
             member.charged_bytes = held
@@ -224,10 +223,14 @@
         else:
             member.charged_bytes = held
 
+    def recharge(self, member: Member, held: int) -> None:
+        """Charge a connection with what it holds, whether it fits or not."""
+        self.bytes.add(held - member.charged_bytes)
+        member.charged_bytes = held
+
     def release_bytes(self, member: Member) -> None:
         """Release all bytes of a connection."""
-        self.bytes.add(-member.charged_bytes)
-        member.charged_bytes = 0
+        self.recharge(member, 0)
 
     def admit_connection(self) -> bool:
         """Count a new connection, if need be in place of an idle or slow one."""
--- a/packages/core/eelgrassdale/http1/callerconnection.py
+++ b/packages/core/eelgrassdale/http1/callerconnection.py
@@ -44,6 +44,9 @@
 REFUSED_RETRY_SECONDS = 1
 # Memory of a header field beside its bytes, which a request holds as objects.
 FIELD_BYTES = 320
+# The rest of a response is not cut for a lack of room before this time has passed since
+# its request ended, so that an ordinary reader gets it whole.
+UNREAD_GRACE_SECONDS = 2.0
 # For a caller whose connection is needed at once.
 CLOSED_FOR_ROOM = (
     b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\n"
@@ -120,6 +123,7 @@
         self.charged_bytes = 0
         self.since = self._loop.time()
         self.has_been_answered = False
+        self._answered_at = float("-inf")
         protocol.on_received = self._update_charge
 
     async def run(self) -> None:
@@ -164,6 +168,9 @@
             # What was charged last was sent meanwhile.
             self._share.release_bytes(self)
             return
+        if self._has_fresh_response():
+            self._share.recharge(self, self._held_bytes())
+            return
         if self._exchange is not None or self._is_ending:
             self._close(abort=True)
         elif self._refusal is None:
@@ -174,6 +181,8 @@
 
     def close_for_room(self) -> bool:
         """Close the connection at once; False if that would cut off a request."""
+        if self._has_fresh_response():
+            return False
         if self.is_idle and has_unread_bytes(self._transport.get_extra_info("socket")):
             return False
         is_reading = self._exchange is None and not self._is_ending and not self.is_idle
@@ -182,6 +191,16 @@
         self._close(abort=self._transport.get_write_buffer_size() > 0)
         return True
 
+    def _has_fresh_response(self) -> bool:
+        """Return whether a handler has ended lately, and its response is unsent."""
+        is_unsent = self._transport.get_write_buffer_size() > 0
+        elapsed_seconds = self._loop.time() - self._answered_at
+        return (
+            self._exchange is None
+            and is_unsent
+            and elapsed_seconds < UNREAD_GRACE_SECONDS
+        )
+
     def hold_back(self) -> None:
         """Receive nothing more until the request that is handled has ended."""
         if not self._is_held_back and not self._transport.is_closing():
@@ -235,7 +254,7 @@
     def _on_request_end(self) -> None:
         self._exchange = None
         self._request_bytes = 0
-        self.since = self._loop.time()
+        self.since = self._answered_at = self._loop.time()
         self.has_been_answered = True
         if self._is_held_back:
             self._is_held_back = False
--- a/packages/core/eelgrassdale/http1/tests/test_callerbudget.py
+++ b/packages/core/eelgrassdale/http1/tests/test_callerbudget.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -152,6 +153,41 @@
     assert run(scenario, connection_limit=8) == (503, [200] * 3, 3)
 
 
+def test_end_of_a_response_is_left_to_its_reader():
+    """Guards against responses of finished requests that are cut for newcomers."""
+
+    async def respond(exchange):
+        transport = exchange._connection._transport
+        await exchange.start(200, ())
+        while not transport.get_write_buffer_size():
+            await exchange.write(b"x" * 30_000)
+        await exchange.finish()
+
+    async def scenario(servers):
+        servers.calm.handler = respond
+        loop = asyncio.get_running_loop()
+        with socket.socket() as sock:
+            # With a small window, so that the end of the response stays at the server.
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, servers.addresses[servers.calm])
+            await loop.sock_sendall(sock, GET)
+            while not any(conn.has_been_answered for conn in servers.calm._connections):
+                await asyncio.sleep(0.01)
+            assert servers.calm.busy_connections == 1
+            servers.calm.handler = servers._answer
+            for _ in range(20):
+                await servers.send(servers.calm, GET, 0.01)
+            received = b""
+            while part := await loop.sock_recv(sock, 1_000_000):
+                received = received[-4:] + part
+                if received.endswith(b"0\r\n\r\n"):
+                    return True
+        return False
+
+    assert run(scenario, connection_limit=10)
+
+
 def test_everything_is_released_in_the_end():
     """Guards against a budget that shrinks with each caller."""
 
