Admit, order and place by capacity while a service is short of it

Cause: while capacity is short, gateways place requests on reports that are 200 ms old, so requests wait at the engines, where they cannot be ordered or refused, and one that is late loses its priority to requests of any other. Change: a service is short when nearly all slots are known to be taken or requests wait.

--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -32,7 +32,8 @@
     held whole. `attempt` describes the response to the newest attempt, or to the one
     before if that one ended without relaying an event. `next_place` is a place that was
     found for the next one, `continuations` are attempts that continue the stream of an
-    earlier one. `retry_at` is when a refused caller may come back, if that is known.
+    earlier one. `retry_at` is when a refused caller may come back, if that is known,
+    `retry_seconds` after how long it should where capacity is short.
     """
 
     admitted: AdmittedRequest
@@ -50,6 +51,7 @@
     next_place: Place | None = None
     continuations: "list[asyncio.Task[Outcome]]" = field(factory=list)
     retry_at: float | None = None
+    retry_seconds: float | None = None
 
     @property
     def is_idempotent(self) -> bool:
@@ -91,6 +93,7 @@
         prompt_parts=admitted.quarantine_parts,
         excluded=call.tried_servers,
         is_exclusion_strict=is_continuation,
+        has_begun=call.may_have_run or call.event_count > 0,
         arrived_at=waiting_since,
         objective_at=objective_at,
         expires_at=admitted.expires_at,
--- a/packages/gateway/eelgrassdale_gateway/candidates.py
+++ b/packages/gateway/eelgrassdale_gateway/candidates.py
@@ -6,12 +6,13 @@
 and not with the product of waiting requests and servers.
 """
 
-from collections.abc import Iterable
+import math
+from collections.abc import Callable, Hashable, Iterable
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from eelgrassdale_gateway.advisories import StartForecast
-from eelgrassdale_gateway.model import Service
+from eelgrassdale_gateway.model import BackendServer, Service
 from eelgrassdale_gateway.placement import (
     Candidate,
     preferred_candidates,
@@ -19,6 +20,14 @@
 )
 
 
+@frozen(kw_only=True)
+class FreeSlots:
+    """Candidates with free slots for requests of one kind, and the slots' number."""
+
+    candidates: list[Candidate]
+    count: int
+
+
 @define(kw_only=True)
 class CandidateGroup:
     """The servers for the requests of one model that allow the same regions.
@@ -35,6 +44,40 @@
     forecast: StartForecast | None = None
     candidates: dict[str, Candidate]
     _open: list[Candidate] | None = field(default=None, init=False)
+    _free: dict[Hashable, FreeSlots] = field(factory=dict, init=False)
+
+    @property
+    def slots(self) -> int:
+        """Number of slots of the candidates."""
+        return sum(max(c.server.slots, 1) for c in self.candidates.values())
+
+    @property
+    def taken_share(self) -> float:
+        """Share of the candidates' slots that are known to be taken."""
+        taken = sum(
+            min(c.load.requests - c.unseen_requests, max(c.server.slots, 1))
+            for c in self.candidates.values()
+        )
+        return taken / max(1, self.slots)
+
+    def free_slots(
+        self, limit: Callable[[BackendServer], float], *, key: Hashable
+    ) -> FreeSlots:
+        """Return the open candidates with fewer requests than a limit.
+
+        They are kept until a load changes, under a `key` that stands for the limit.
+        """
+        free = self._free.get(key)
+        if free is None:
+            count = 0
+            candidates = []
+            for candidate in self.open_candidates(frozenset()):
+                free_count = limit(candidate.server) - candidate.load.requests
+                if free_count > 0:
+                    candidates.append(candidate)
+                    count += math.ceil(free_count)
+            free = self._free[key] = FreeSlots(candidates=candidates, count=count)
+        return free
 
     def earliest_start(self) -> float:
         """Return when the next waiting request can start, on the monotonic clock.
@@ -74,6 +117,7 @@
         else:
             self.candidates[server_id] = candidate
         self._open = None
+        self._free.clear()
 
     def _select_open(self, candidates: Iterable[Candidate]) -> list[Candidate]:
         return [
--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -1,8 +1,8 @@
 """Queues requests and assigns them to backend servers."""
 
 import asyncio
-from collections import defaultdict
-from collections.abc import Callable
+from collections import Counter, defaultdict
+from collections.abc import Callable, Hashable
 from random import Random
 
 import structlog
@@ -10,18 +10,29 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.results import ResultCode
+from eelgrassdale_gateway.admissioncontrol import MIN_TAKEN_SHARE, overload_refusal_code
 from eelgrassdale_gateway.candidates import CandidateGroup
 from eelgrassdale_gateway.eligibility import EligibleServers, Moment
-from eelgrassdale_gateway.loads import InFlightRequest
+from eelgrassdale_gateway.estimates import (
+    NEVER,
+    SHORT_TAKEN_SHARE,
+    ServiceDemand,
+    Shortage,
+)
+from eelgrassdale_gateway.loads import REPORT_DELAY_SECONDS, InFlightRequest
 from eelgrassdale_gateway.model import BackendServer
+from eelgrassdale_gateway.ordering import has_queue_time, short_request_limit
 from eelgrassdale_gateway.placement import (
     Placement,
+    can_read_prompt,
+    choose,
     min_first_event_seconds,
     place,
     streaming_seconds,
 )
 from eelgrassdale_gateway.quarantine import PromptQuarantine
 from eelgrassdale_gateway.queueing import Waiter, is_late, placement_order, refusal_code
+from eelgrassdale_gateway.retryafter import overload_retry_seconds
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.shares import GatewayGroup
 
@@ -35,13 +46,21 @@
     """No backend server accepted the request in time; `code` is the reason.
 
     `retry_at` is the monotonic time at which one takes requests again, if that is
-    known.
+    known. `retry_seconds` is after how long the caller should retry where capacity is
+    short.
     """
 
-    def __init__(self, code: ResultCode, *, retry_at: float | None = None) -> None:
+    def __init__(
+        self,
+        code: ResultCode,
+        *,
+        retry_at: float | None = None,
+        retry_seconds: float | None = None,
+    ) -> None:
         super().__init__(code.name)
         self.code = code
         self.retry_at = retry_at
+        self.retry_seconds = retry_seconds
 
 
 @define(kw_only=True, eq=False)
@@ -55,7 +74,22 @@
     """Time and candidates of one pass over a queue."""
 
     moment: Moment
+    demand: ServiceDemand
     groups: dict[tuple[str, frozenset[str]], CandidateGroup] = field(factory=dict)
+    gateway_count: int
+    is_short: bool
+    shortages: dict[int, Shortage] = field(factory=dict)
+    waiting_counts: Counter[int] = field(factory=Counter)
+    # Fewest prompt tokens for which no place was found, by group and limit.
+    unplaced_tokens: dict[Hashable, int] = field(factory=dict)
+    _taken_shares: dict[int, float] = field(factory=dict, init=False)
+
+    def taken_share(self, group: CandidateGroup) -> float:
+        """Return the share of taken slots of a group as of the start of the pass."""
+        share = self._taken_shares.get(id(group))
+        if share is None:
+            share = self._taken_shares[id(group)] = group.taken_share
+        return share
 
 
 class Dispatcher:
@@ -105,6 +139,7 @@
         self._live_gateway_count = live_gateway_count
         self._rng = Random(seed)
         self._queues: dict[str, list[_QueuedRequest]] = defaultdict(list)
+        self._demands: dict[str, ServiceDemand] = defaultdict(ServiceDemand)
         self._tick_timer: asyncio.TimerHandle | None = None
         routing_state.subscribe(self._on_routing_state_change)
 
@@ -123,6 +158,9 @@
         )
         self._estimate_durations(waiter)
         self._queues[waiter.service].append(queued)
+        if not waiter.has_begun:
+            arrivals = self._demands[waiter.service].arrivals[waiter.priority]
+            arrivals.add(1.0, now=self._clock.monotonic())
         self._dispatch_queue(waiter.service)
         try:
             return await queued.fut
@@ -133,11 +171,19 @@
     def record_response_start(self, in_flight: InFlightRequest) -> None:
         """Record that the response has begun, so the prompt is no longer pending."""
         self.loads.record_response_start(in_flight)
+        now = self._clock.monotonic()
+        self._demands[in_flight.service].record_outcome(
+            in_flight.priority, is_in_time=now <= in_flight.objective_at, now=now
+        )
         self._dispatch_for_server(in_flight.server)
 
     def record_end(self, in_flight: InFlightRequest) -> None:
         """Remove a request from the loads after its attempt."""
         self.loads.record_end(in_flight)
+        now = self._clock.monotonic()
+        self._demands[in_flight.service].record_end(
+            in_flight.server, now - in_flight.sent_at, now=now
+        )
         self._dispatch_for_server(in_flight.server)
 
     def latest_start(self, server: BackendServer, model: str) -> float:
@@ -178,8 +224,18 @@
         if not queue:
             return
         now = self._clock.monotonic()
-        moment = Moment(now=now, peer_count=self._live_gateway_count() - 1)
-        dispatch_pass = _DispatchPass(moment=moment)
+        demand = self._demands[name]
+        gateway_count = self._live_gateway_count()
+        is_short = demand.is_short(now)
+        # While capacity is short, the slots that the others' requests leave are divided
+        # instead of estimating what the others sent.
+        moment = Moment(now=now, peer_count=0 if is_short else gateway_count - 1)
+        dispatch_pass = _DispatchPass(
+            moment=moment,
+            demand=demand,
+            gateway_count=gateway_count,
+            is_short=is_short,
+        )
         by_waiter = {queued.waiter: queued for queued in queue}
         ended: set[_QueuedRequest] = set()
         for waiter in placement_order(by_waiter, now):
@@ -223,20 +279,37 @@
             queued.fut.set_exception(PlacementRefused(ResultCode.PROMPT_QUARANTINED))
             return True
         group = self._group_for(waiter, dispatch_pass)
-        placement = self._find_placement(waiter, group, now) if group else None
+        placement = (
+            self._find_placement(waiter, group, dispatch_pass) if group else None
+        )
         if placement is not None:
             self.quarantine.record_send(waiter.prompt_parts)
             server_id = placement.server.id
             in_flight = self.loads.record_send(server_id, tokens=waiter.tokens, now=now)
+            in_flight.service = waiter.service
+            in_flight.priority = waiter.priority
+            in_flight.objective_at = waiter.objective_at
+            dispatch_pass.demand.starts.add(1.0, now=now)
             queued.fut.set_result((placement, in_flight))
             self._update_candidates(placement.server, dispatch_pass)
             return True
-        code = refusal_code(waiter, now)
+        code = refusal_code(waiter, now) or self._overload_code(
+            waiter, group, dispatch_pass
+        )
         if code is not None:
             # Infinite if this gateway has no share of the servers' rates.
             is_known = now < waiter.earliest_start < float("inf")
             retry_at = waiter.earliest_start if is_known else None
-            queued.fut.set_exception(PlacementRefused(code, retry_at=retry_at))
+            queued.fut.set_exception(
+                PlacementRefused(
+                    code,
+                    retry_at=retry_at,
+                    retry_seconds=self._retry_seconds(waiter, group, dispatch_pass),
+                )
+            )
+            dispatch_pass.demand.record_outcome(
+                waiter.priority, is_in_time=False, now=now
+            )
             return True
         if group is not None:
             group.take_start()
@@ -253,13 +326,135 @@
                 self.eligible.candidate(server, group.service, dispatch_pass.moment),
             )
 
+    def _overload_code(
+        self,
+        waiter: Waiter,
+        group: CandidateGroup | None,
+        dispatch_pass: _DispatchPass,
+    ) -> ResultCode | None:
+        """Return the code with which to refuse a request for lack of capacity."""
+        if group is None or not group.candidates:
+            return None
+        now = dispatch_pass.moment.now
+        demand = dispatch_pass.demand
+        taken_share = dispatch_pass.taken_share(group)
+        if taken_share >= MIN_TAKEN_SHARE:
+            demand.short_at = now
+        if not dispatch_pass.is_short:
+            return None
+        key = id(group)
+        code = overload_refusal_code(
+            waiter,
+            self._shortage(group, dispatch_pass),
+            ahead=dispatch_pass.waiting_counts[key],
+            taken_share=taken_share,
+            now=now,
+        )
+        if code is None:
+            dispatch_pass.waiting_counts[key] += 1
+        return code
+
+    def _retry_seconds(
+        self,
+        waiter: Waiter,
+        group: CandidateGroup | None,
+        dispatch_pass: _DispatchPass,
+    ) -> float | None:
+        """Return after how long a refused caller should retry, None if not short."""
+        if group is None or not group.candidates or not dispatch_pass.is_short:
+            return None
+        return overload_retry_seconds(
+            waiter,
+            self._shortage(group, dispatch_pass),
+            now=dispatch_pass.moment.now,
+            draw=self._rng.random(),
+        )
+
+    def _shortage(
+        self, group: CandidateGroup, dispatch_pass: _DispatchPass
+    ) -> Shortage:
+        key = id(group)
+        shortage = dispatch_pass.shortages.get(key)
+        if shortage is None:
+            moment = dispatch_pass.moment
+            shortage = dispatch_pass.shortages[key] = dispatch_pass.demand.shortage(
+                slots=group.slots,
+                gateways=dispatch_pass.gateway_count,
+                now=moment.now,
+            )
+        return shortage
+
+    def _find_short_placement(
+        self, waiter: Waiter, group: CandidateGroup, dispatch_pass: _DispatchPass
+    ) -> Placement | None:
+        """Place a request of a service that is short of capacity."""
+        now, demand = dispatch_pass.moment.now, dispatch_pass.demand
+        shortage = self._shortage(group, dispatch_pass)
+        late = is_late(waiter, now)
+        can_queue = has_queue_time(
+            group.service, waiter, demand.duration_seconds, now=now
+        )
+        key = (waiter.priority, late, can_queue)
+        if waiter.tokens >= dispatch_pass.unplaced_tokens.get((id(group), key), NEVER):
+            return None
+        free = group.free_slots(
+            lambda server: short_request_limit(
+                group.service,
+                server,
+                shortage,
+                priority=waiter.priority,
+                is_late=late,
+                can_queue=can_queue,
+            ),
+            key=key,
+        )
+        may_take_foreign = demand.foreign_slots(waiter.priority).is_available(
+            rate=free.count / (dispatch_pass.gateway_count * REPORT_DELAY_SECONDS),
+            now=now,
+        )
+        available = [
+            c
+            for c in free.candidates
+            if c.server.id not in waiter.excluded
+            and can_read_prompt(group.service, c, waiter.tokens)
+            and (may_take_foreign or demand.own_free_slots(c.server.id, now=now))
+        ]
+        if not available:
+            if not waiter.excluded:
+                dispatch_pass.unplaced_tokens[id(group), key] = waiter.tokens
+            return None
+        placement = choose(
+            service=group.service,
+            available=available,
+            tokens=waiter.tokens,
+            rng=self._rng,
+        )
+        if demand.own_free_slots(placement.server.id, now=now):
+            demand.take_own_slot(placement.server.id)
+        else:
+            demand.foreign_slots(waiter.priority).take()
+        return placement
+
+    def _detect_shortage(
+        self, group: CandidateGroup, dispatch_pass: _DispatchPass
+    ) -> None:
+        """Record a shortage if nearly all slots are taken, before requests wait.
+
+        Requests then wait at the servers, out of sight of the gateways.
+        """
+        if dispatch_pass.taken_share(group) >= SHORT_TAKEN_SHARE:
+            dispatch_pass.demand.short_at = dispatch_pass.moment.now
+
     def _find_placement(
-        self, waiter: Waiter, group: CandidateGroup, now: float
+        self, waiter: Waiter, group: CandidateGroup, dispatch_pass: _DispatchPass
     ) -> Placement | None:
+        now = dispatch_pass.moment.now
         if group.has_servers:
             # They may be loading weights and become usable soon.
             waiter.last_candidate_at = now
         waiter.earliest_start = group.earliest_start()
+        if dispatch_pass.demand.is_short(now) and not waiter.has_begun:
+            return self._find_short_placement(waiter, group, dispatch_pass)
         candidates = group.open_candidates(
             waiter.excluded, is_strict=waiter.is_exclusion_strict
         )
@@ -286,6 +481,7 @@
         if group is None:
             group = self.eligible.group(waiter, service, dispatch_pass.moment)
             dispatch_pass.groups[key] = group
+            self._detect_shortage(group, dispatch_pass)
         return group
 
     def _estimate_durations(self, waiter: Waiter) -> None:
--- a/packages/gateway/eelgrassdale_gateway/eligibility.py
+++ b/packages/gateway/eelgrassdale_gateway/eligibility.py
@@ -20,7 +20,7 @@
 from eelgrassdale_gateway.availability import AvailabilityTracker
 from eelgrassdale_gateway.candidates import CandidateGroup
 from eelgrassdale_gateway.health import HealthTracker
-from eelgrassdale_gateway.loads import LoadTracker
+from eelgrassdale_gateway.loads import NO_LOAD, LoadTracker
 from eelgrassdale_gateway.model import BackendServer, Service
 from eelgrassdale_gateway.notices import NoticeRegistry
 from eelgrassdale_gateway.placement import EXTRA_ENGINE_REQUESTS, Candidate
@@ -131,11 +131,16 @@
             return None
         if not self._may_send_to_newly_available(server, service, now):
             return None
+        load = self.loads.server_load(server.id, now=now)
+        unseen = NO_LOAD
+        if moment.peer_count:
+            unseen = self.loads.unseen_load(
+                server.id, now=now, peer_count=moment.peer_count
+            )
         return Candidate(
             server=server,
-            load=self.loads.server_load(
-                server.id, now=now, peer_count=moment.peer_count
-            ),
+            load=load if unseen is NO_LOAD else load + unseen,
+            unseen_requests=unseen.requests,
             is_avoided=self.health.is_avoided(server.id, now=now),
             is_local=server.data_centre == self._data_centre,
         )
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -150,6 +150,7 @@
                     outcome = await outcome.continuation
             except PlacementRefused as exc:
                 call.retry_at = exc.retry_at
+                call.retry_seconds = exc.retry_seconds
                 await self._end_without_retry(call, exc.code, response)
                 return
             if isinstance(outcome, Relayed):
@@ -378,6 +379,8 @@
     def _retry_after_seconds(self, call: Call | None, code: ResultCode) -> float:
         if call is not None and code is ResultCode.PROMPT_QUARANTINED:
             return self._quarantine.seconds_until_trial(call.admitted.quarantine_parts)
+        if call is not None and call.retry_seconds is not None:
+            return call.retry_seconds
         now = self._clock.monotonic()
         expires_at = call.admitted.expires_at if call else now
         retry_at = call.retry_at if call else None
--- a/packages/gateway/eelgrassdale_gateway/loads.py
+++ b/packages/gateway/eelgrassdale_gateway/loads.py
@@ -44,10 +44,15 @@
     """One request sent to a backend server.
 
     `tokens` are its prompt tokens not yet read; 0 once the response has begun.
+    `sent_at` is when it was sent, `objective_at` when its first event is due.
     """
 
     server: str
     tokens: int
+    sent_at: float = 0.0
+    service: str = ""
+    priority: int = 0
+    objective_at: float = float("inf")
 
 
 @define
@@ -95,7 +100,7 @@
         load = Load(requests=1, tokens=tokens)
         self._add_own_load(server, load)
         self._recent_sends.setdefault(server, deque()).append((now, load))
-        return InFlightRequest(server=server, tokens=tokens)
+        return InFlightRequest(server=server, tokens=tokens, sent_at=now)
 
     def record_response_start(self, in_flight: InFlightRequest) -> None:
         """Remove the prompt tokens of a request from the load: they were read."""
@@ -163,14 +168,20 @@
         """
         self._remove_expired_reports(now)
         load = self._own_loads.get(server, NO_LOAD)
-        recent_load = self._recent_load(server, now)
-        if recent_load is not NO_LOAD:
-            load += recent_load.scaled(PEER_SEND_SHARE * peer_count)
+        if peer_count:
+            load += self.unseen_load(server, now=now, peer_count=peer_count)
         total = self._reported_totals.get(server)
         if total is not None:
             load += Load(requests=total.requests, tokens=total.tokens)
         return load
 
+    def unseen_load(self, server: str, *, now: float, peer_count: int) -> Load:
+        """Return an estimate of what peers sent to a server since their reports."""
+        recent_load = self._recent_load(server, now)
+        if recent_load is NO_LOAD:
+            return NO_LOAD
+        return recent_load.scaled(PEER_SEND_SHARE * peer_count)
+
     def retain(self, known_servers: Collection[str]) -> None:
         """Drop the recent sends to all backend servers but the known ones."""
         for server in self._recent_sends.keys() - known_servers:
--- /dev/null
+++ b/packages/gateway/eelgrassdale_gateway/ordering.py
@@ -0,0 +1,91 @@
+"""Slots that requests of each priority may take while capacity is short.
+
+Each gateway sees only its own queue. Without a reserve, a gateway whose waiting
+requests are all of a low priority takes the slots that more urgent requests of other
+gateways need, and long streams hold them when the next urgent request comes.
+"""
+
+from eelgrassdale_gateway.estimates import Shortage
+from eelgrassdale_gateway.model import BackendServer, Service
+from eelgrassdale_gateway.placement import request_limit
+from eelgrassdale_gateway.queueing import Waiter, is_late
+
+# Reserve for the more urgent requests, per share of them that got no response in
+# time: with a sixth missed, all that they need is reserved.
+RESERVE_GAIN = 6.0
+# Fraction reserved at each server while more urgent requests keep arriving: two of
+# twelve slots. With one, requests of several gateways met at the same server too often.
+MIN_RESERVED_SHARE = 0.15
+# Arrivals a second from which a priority counts as arriving.
+MIN_ARRIVAL_RATE = 0.05
+
+
+def reserved_share(shortage: Shortage, priority: int) -> float:
+    """Return the fraction of each server's slots that a priority leaves to others.
+
+    It is what the more urgent requests need, in so far as they come late today.
+
+    Examples
+    --------
+    >>> shortage = Shortage(
+    ...     start_rate=10.0,
+    ...     arrival_rates={0: 5.0, 2: 10.0},
+    ...     demands={0: 0.5, 2: 1.0},
+    ...     miss_shares={0: 0.1, 2: 0.0},
+    ... )
+    >>> reserved_share(shortage, 0), round(reserved_share(shortage, 2), 3)
+    (0.0, 0.3)
+
+    """
+    demand = sum(d for other, d in shortage.demands.items() if other < priority)
+    missed = max(
+        (m for other, m in shortage.miss_shares.items() if other < priority),
+        default=0.0,
+    )
+    return min(1.0, demand) * min(1.0, RESERVE_GAIN * missed)
+
+
+def has_more_urgent(shortage: Shortage, priority: int) -> bool:
+    """Return whether requests of a more urgent priority keep arriving."""
+    return any(
+        rate > MIN_ARRIVAL_RATE
+        for other, rate in shortage.arrival_rates.items()
+        if other < priority
+    )
+
+
+def has_queue_time(
+    service: Service, waiter: Waiter, duration_seconds: float, *, now: float
+) -> bool:
+    """Return whether a request starts in time if it waits for a slot at an engine.
+
+    A slot becomes free there when one of the running requests ends.
+    """
+    if service.engine is None:
+        return True
+    wait = duration_seconds / max(1, service.engine.slots)
+    return not is_late(waiter, now + wait)
+
+
+def short_request_limit(
+    service: Service,
+    server: BackendServer,
+    shortage: Shortage,
+    *,
+    priority: int,
+    is_late: bool,
+    can_queue: bool,
+) -> float:
+    """Return `request_limit` for a service that is short of capacity.
+
+    With `can_queue`, the request may wait at an engine until a slot is free.
+    """
+    limit = request_limit(service, server)
+    if service.engine is not None and not can_queue:
+        limit = max(server.slots, 1)
+    if is_late:
+        # Few requests are kept that become late, and none of them is refused.
+        return limit
+    if has_more_urgent(shortage, priority):
+        limit *= 1 - max(MIN_RESERVED_SHARE, reserved_share(shortage, priority))
+    return limit
--- a/packages/gateway/eelgrassdale_gateway/placement.py
+++ b/packages/gateway/eelgrassdale_gateway/placement.py
@@ -35,10 +35,14 @@
 
 @frozen(kw_only=True)
 class Candidate:
-    """A backend server that may run the request, with its load."""
+    """A backend server that may run the request, with its load.
+
+    `unseen_requests` of the load are an estimate of what peers did not report yet.
+    """
 
     server: BackendServer
     load: Load
+    unseen_requests: int = 0
     is_avoided: bool = False
     is_local: bool = True
 
@@ -135,11 +139,15 @@
     service: Service, candidate: Candidate, tokens: int, *, is_late: bool = False
 ) -> bool:
     """Return whether a backend server may get one more request now."""
+    limit = request_limit(service, candidate.server, is_late=is_late)
+    return candidate.load.requests < limit and can_read_prompt(
+        service, candidate, tokens
+    )
+
+
+def can_read_prompt(service: Service, candidate: Candidate, tokens: int) -> bool:
+    """Return whether an engine can soon read the prompts that wait and one more."""
     engine = service.engine
-    if candidate.load.requests >= request_limit(
-        service, candidate.server, is_late=is_late
-    ):
-        return False
     if engine is None:
         return True
     backlog = candidate.load.tokens
@@ -168,6 +176,13 @@
         for c in preferred_candidates(candidates)
         if has_capacity(service, c, tokens, is_late=is_late)
     ]
+    return choose(service=service, available=available, tokens=tokens, rng=rng)
+
+
+def choose(
+    *, service: Service, available: Sequence[Candidate], tokens: int, rng: Random
+) -> Placement | None:
+    """Return where a request goes among servers with capacity for it."""
     if not available:
         return None
     local_candidates = [c for c in available if c.is_local]
--- a/packages/gateway/eelgrassdale_gateway/queueing.py
+++ b/packages/gateway/eelgrassdale_gateway/queueing.py
@@ -39,7 +39,8 @@
     and `streaming_seconds` are the times to its first event and from there to its last
     at an idle engine. `last_candidate_at` is when a backend server that may run it was
     last listed. `earliest_start` is when one can take this request after those before
-    it, minus infinity if that is not known.
+    it, minus infinity if that is not known. `has_begun` is true if an earlier attempt
+    may have run it, so that a refusal would waste that work.
     """
 
     service: str
@@ -51,6 +52,7 @@
     prompt_parts: frozenset[str] = frozenset()
     excluded: frozenset[str] = frozenset()
     is_exclusion_strict: bool = False
+    has_begun: bool = False
     arrived_at: float
     objective_at: float
     expires_at: float
--- a/packages/gateway/eelgrassdale_gateway/tests/test_dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_dispatcher.py
@@ -305,10 +305,10 @@
         await asyncio.sleep(0)
         find_placement = dispatcher._find_placement
 
-        def find_or_fail(waiter, group, now):
+        def find_or_fail(waiter, group, dispatch_pass):
             if waiter is failing:
                 raise KeyError("x")
-            return find_placement(waiter, group, now)
+            return find_placement(waiter, group, dispatch_pass)
 
         monkeypatch.setattr(dispatcher, "_find_placement", find_or_fail)
         cluster.list_servers(1)
