Send the priority to engines, and let short and aged requests go first

Cause: requests that wait at an engine are ranked by a header that the gateway did not send; among requests of a priority, long ones took as much room in the order as short ones. Change: each request carries its rank; while capacity is short, shorter requests of a priority go first until a longer one has spent half of its time, and late ones that were kept go first after half of the longest late wait.

--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -35,6 +35,8 @@
 
 # Memory for the buffered parts of all responses together.
 DEFAULT_RESPONSE_MEMORY_BYTES = 33_554_432
+# Highest rank that a backend server knows; the lowest goes first.
+MAX_RANK = 9
 # An idempotent stream without a new event for this time is continued on another
 # backend server. Callers disconnect after two seconds without an event.
 STREAM_SILENCE_SECONDS = 1.5
@@ -248,6 +250,7 @@
             header_names.account,
             header_names.expected_server,
             header_names.remaining_ms,
+            header_names.priority,
         }
         dropped = gateway_headers | {"content-length"}
         if call.last_event_id is not None:
@@ -258,6 +261,9 @@
             (header_names.remaining_ms, str(max(1, int(remaining_seconds * 1000)))),
             (header_names.expected_server, server.id),
         ]
+        if header_names.priority:
+            rank = min(max(admitted.priority, 0), MAX_RANK)
+            headers.append((header_names.priority, str(rank)))
         if admitted.account is not None:
             headers.append((header_names.account, admitted.account.name))
         if call.last_event_id is not None:
--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -21,7 +21,11 @@
 )
 from eelgrassdale_gateway.loads import REPORT_DELAY_SECONDS, InFlightRequest
 from eelgrassdale_gateway.model import BackendServer
-from eelgrassdale_gateway.ordering import has_queue_time, short_request_limit
+from eelgrassdale_gateway.ordering import (
+    has_queue_time,
+    short_request_limit,
+    shortage_order,
+)
 from eelgrassdale_gateway.placement import (
     Placement,
     can_read_prompt,
@@ -238,7 +242,8 @@
         )
         by_waiter = {queued.waiter: queued for queued in queue}
         ended: set[_QueuedRequest] = set()
-        for waiter in placement_order(by_waiter, now):
+        order = shortage_order if is_short else placement_order
+        for waiter in order(by_waiter, now):
             queued = by_waiter[waiter]
             if self._dispatch_or_refuse(queued, dispatch_pass):
                 ended.add(queued)
--- a/packages/gateway/eelgrassdale_gateway/headernames.py
+++ b/packages/gateway/eelgrassdale_gateway/headernames.py
@@ -52,3 +52,9 @@
 
     rate_limit: str
     """Requests a second that a backend server takes from all gateways together."""
+
+    priority: str = ""
+    """Rank of a request among those that wait at a backend server, from 0 (first) to 9.
+
+    Empty if the platform has no such header.
+    """
--- a/packages/gateway/eelgrassdale_gateway/ordering.py
+++ b/packages/gateway/eelgrassdale_gateway/ordering.py
@@ -5,10 +5,12 @@
 gateways need, and long streams hold them when the next urgent request comes.
 """
 
+from collections.abc import Iterable
+
 from eelgrassdale_gateway.estimates import Shortage
 from eelgrassdale_gateway.model import BackendServer, Service
 from eelgrassdale_gateway.placement import request_limit
-from eelgrassdale_gateway.queueing import Waiter, is_late
+from eelgrassdale_gateway.queueing import MAX_LATE_WAIT_SHARE, Waiter, is_late
 
 # Reserve for the more urgent requests, per share of them that got no response in
 # time: with a sixth missed, all that they need is reserved.
@@ -18,6 +20,8 @@
 MIN_RESERVED_SHARE = 0.15
 # Arrivals a second from which a priority counts as arriving.
 MIN_ARRIVAL_RATE = 0.05
+# Part of its time after which a waiting request goes before younger ones.
+AGED_SHARE = 0.5
 
 
 def reserved_share(shortage: Shortage, priority: int) -> float:
@@ -45,6 +49,34 @@
     return min(1.0, demand) * min(1.0, RESERVE_GAIN * missed)
 
 
+def shortage_order(waiters: Iterable[Waiter], now: float) -> list[Waiter]:
+    """Return the waiters in the order in which they are placed.
+
+    Requests in time go by priority, then the shorter ones first, as they earn more for
+    the time that they hold a slot. One that spent half of its time goes before younger
+    ones of any length, so that long ones are not starved. Late requests follow, and go
+    first when they have waited for half of the longest late wait.
+    """
+    return sorted(waiters, key=lambda w: _rank(w, now))
+
+
+def _rank(waiter: Waiter, now: float) -> tuple[float, ...]:
+    waited = now - waiter.arrived_at
+    if is_late(waiter, now):
+        max_wait = MAX_LATE_WAIT_SHARE * (waiter.expires_at - waiter.arrived_at)
+        is_aged = waited > AGED_SHARE * max_wait
+        return (0 if is_aged else 2, waiter.priority, 0, 0.0, waiter.objective_at)
+    is_aged = is_late(waiter, now + waited)
+    work_seconds = waiter.min_first_event_seconds + waiter.streaming_seconds
+    return (
+        1,
+        waiter.priority,
+        0 if is_aged else 1,
+        0.0 if is_aged else work_seconds,
+        waiter.objective_at,
+    )
+
+
 def has_more_urgent(shortage: Shortage, priority: int) -> bool:
     """Return whether requests of a more urgent priority keep arriving."""
     return any(
--- a/packages/gateway/eelgrassdale_gateway/tests/harness.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/harness.py
@@ -41,6 +41,7 @@
     last_event_id="t-last-event",
     leaving="t-leaving",
     rate_limit="t-limit",
+    priority="t-rank",
 )
 ENGINE = EngineProfile(
     slots=4,
