Keep or refuse within an eighth of the objective; log overloads

Cause: callers waited for seconds for a refusal; operators saw neither the begin nor the end of an overload; the time to a first event was taken from an idle engine. Change: a request is refused within an eighth of its objective or kept; late ones take reserved slots only after half of the longest late wait; first events are learned while capacity is short.

--- a/packages/gateway/eelgrassdale_gateway/admissioncontrol.py
+++ b/packages/gateway/eelgrassdale_gateway/admissioncontrol.py
@@ -17,6 +17,9 @@
 MIN_TAKEN_SHARE = 0.5
 # Time for the decision, as a fraction of the objective, and at least for one pass
 # after the shortage was noticed.
+# Slots become free at irregular times: without a margin, half of the requests that are
+# expected to start just in time come late.
+WAIT_MARGIN = 1.4
 DECISION_SHARE = 0.125
 MIN_DECISION_SECONDS = 0.03
 
@@ -42,7 +45,7 @@
         - waiter.min_first_event_seconds
         - FIRST_EVENT_MARGIN_SECONDS
     )
-    if now + wait <= in_time_at:
+    if now + WAIT_MARGIN * wait <= in_time_at:
         return None
     late_wait = wait_seconds(shortage, ahead=ahead)
     max_wait = MAX_LATE_WAIT_SHARE * (waiter.expires_at - waiter.arrived_at)
--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -10,7 +10,11 @@
 
 from eelgrassdale.clock import Clock
 from eelgrassdale.results import ResultCode
-from eelgrassdale_gateway.admissioncontrol import MIN_TAKEN_SHARE, overload_refusal_code
+from eelgrassdale_gateway.admissioncontrol import (
+    MIN_TAKEN_SHARE,
+    is_accepted,
+    overload_refusal_code,
+)
 from eelgrassdale_gateway.candidates import CandidateGroup
 from eelgrassdale_gateway.eligibility import EligibleServers, Moment
 from eelgrassdale_gateway.estimates import (
@@ -22,10 +26,12 @@
 from eelgrassdale_gateway.loads import REPORT_DELAY_SECONDS, InFlightRequest
 from eelgrassdale_gateway.model import BackendServer
 from eelgrassdale_gateway.ordering import (
+    has_aged,
     has_queue_time,
     short_request_limit,
     shortage_order,
 )
+from eelgrassdale_gateway.overload import OverloadMonitor
 from eelgrassdale_gateway.placement import (
     Placement,
     can_read_prompt,
@@ -42,6 +48,10 @@
 
 # Interval at which queues are processed again when nothing else triggers it.
 TICK_SECONDS = 0.02
+# Not all gateways have requests waiting for the slots that they all see as free.
+FOREIGN_SLOTS_FACTOR = 1.5
+# Interval at which the ends of overloads are looked for, while there is one.
+END_CHECK_SECONDS = 1.0
 
 log = structlog.get_logger(__name__)
 
@@ -88,6 +98,14 @@
     unplaced_tokens: dict[Hashable, int] = field(factory=dict)
     _taken_shares: dict[int, float] = field(factory=dict, init=False)
 
+    def keeps(self, waiter: Waiter) -> bool:
+        """Return whether a request that waited long is served and not refused."""
+        return (
+            self.is_short
+            and is_accepted(waiter, self.moment.now)
+            and waiter.earliest_start <= self.moment.now
+        )
+
     def taken_share(self, group: CandidateGroup) -> float:
         """Return the share of taken slots of a group as of the start of the pass."""
         share = self._taken_shares.get(id(group))
@@ -145,6 +163,8 @@
         self._queues: dict[str, list[_QueuedRequest]] = defaultdict(list)
         self._demands: dict[str, ServiceDemand] = defaultdict(ServiceDemand)
         self._tick_timer: asyncio.TimerHandle | None = None
+        self.overloads = OverloadMonitor()
+        self._overload_timer: asyncio.TimerHandle | None = None
         routing_state.subscribe(self._on_routing_state_change)
 
     async def place(self, waiter: Waiter) -> tuple[Placement, InFlightRequest]:
@@ -176,9 +196,13 @@
         """Record that the response has begun, so the prompt is no longer pending."""
         self.loads.record_response_start(in_flight)
         now = self._clock.monotonic()
-        self._demands[in_flight.service].record_outcome(
+        demand = self._demands[in_flight.service]
+        demand.record_outcome(
             in_flight.priority, is_in_time=now <= in_flight.objective_at, now=now
         )
+        demand.record_first_event(
+            now - in_flight.sent_at - in_flight.min_first_event_seconds
+        )
         self._dispatch_for_server(in_flight.server)
 
     def record_end(self, in_flight: InFlightRequest) -> None:
@@ -258,6 +282,19 @@
         self._tick_timer = None
         self.dispatch_waiting()
 
+    def _watch_overloads(self) -> None:
+        """Notice the ends of overloads also if no request arrives."""
+        if self._overload_timer is None and not self.overloads.is_idle():
+            loop = asyncio.get_running_loop()
+            self._overload_timer = loop.call_later(
+                END_CHECK_SECONDS, self._end_overloads
+            )
+
+    def _end_overloads(self) -> None:
+        self._overload_timer = None
+        self.overloads.end_expired(now=self._clock.monotonic())
+        self._watch_overloads()
+
     def _dispatch_or_refuse(
         self, queued: _QueuedRequest, dispatch_pass: _DispatchPass
     ) -> bool:
@@ -294,13 +331,21 @@
             in_flight.service = waiter.service
             in_flight.priority = waiter.priority
             in_flight.objective_at = waiter.objective_at
+            in_flight.min_first_event_seconds = waiter.min_first_event_seconds
             dispatch_pass.demand.starts.add(1.0, now=now)
+            if dispatch_pass.is_short and is_late(waiter, now):
+                self.overloads.record_late_start(
+                    waiter.service, priority=waiter.priority, now=now
+                )
+                self._watch_overloads()
             queued.fut.set_result((placement, in_flight))
             self._update_candidates(placement.server, dispatch_pass)
             return True
-        code = refusal_code(waiter, now) or self._overload_code(
-            waiter, group, dispatch_pass
-        )
+        code = refusal_code(waiter, now)
+        if code is ResultCode.QUEUE_FULL and dispatch_pass.keeps(waiter):
+            code = None
+        if code is None:
+            code = self._overload_code(waiter, group, dispatch_pass)
         if code is not None:
             # Infinite if this gateway has no share of the servers' rates.
             is_known = now < waiter.earliest_start < float("inf")
@@ -315,6 +360,11 @@
             dispatch_pass.demand.record_outcome(
                 waiter.priority, is_in_time=False, now=now
             )
+            if dispatch_pass.is_short:
+                self.overloads.record_refusal(
+                    waiter.service, code=code, priority=waiter.priority, now=now
+                )
+                self._watch_overloads()
             return True
         if group is not None:
             group.take_start()
@@ -399,7 +449,8 @@
         can_queue = has_queue_time(
             group.service, waiter, demand.duration_seconds, now=now
         )
-        key = (waiter.priority, late, can_queue)
+        aged = late and has_aged(waiter, now)
+        key = (waiter.priority, late, aged, can_queue)
         if waiter.tokens >= dispatch_pass.unplaced_tokens.get((id(group), key), NEVER):
             return None
         free = group.free_slots(
@@ -409,12 +460,15 @@
                 shortage,
                 priority=waiter.priority,
                 is_late=late,
+                is_aged=aged,
                 can_queue=can_queue,
             ),
             key=key,
         )
         may_take_foreign = demand.foreign_slots(waiter.priority).is_available(
-            rate=free.count / (dispatch_pass.gateway_count * REPORT_DELAY_SECONDS),
+            rate=FOREIGN_SLOTS_FACTOR
+            * free.count
+            / (dispatch_pass.gateway_count * REPORT_DELAY_SECONDS),
             now=now,
         )
         available = [
@@ -498,3 +552,6 @@
                 service, waiter.tokens
             )
             waiter.streaming_seconds = streaming_seconds(service, waiter.output_tokens)
+            demand = self._demands[waiter.service]
+            if service.engine is not None and demand.is_short(self._clock.monotonic()):
+                waiter.min_first_event_seconds += demand.first_event_excess
--- a/packages/gateway/eelgrassdale_gateway/estimates.py
+++ b/packages/gateway/eelgrassdale_gateway/estimates.py
@@ -31,6 +31,9 @@
 # Part of the measured starts a second that is expected further on; the measured rate
 # of a gateway with few requests varies by a quarter.
 MEASURED_RATE_SHARE = 0.75
+# Longer excesses of a first event over its estimate come from requests that waited for
+# a slot at an engine, which placement avoids.
+MAX_EXCESS_SECONDS = 0.2
 NEVER = float("inf")
 # Share of taken slots from which a service is short of capacity.
 SHORT_TAKEN_SHARE = 0.9
@@ -109,6 +112,7 @@
     misses: dict[int, DecayingSum] = field(factory=lambda: defaultdict(DecayingSum))
     starts: DecayingSum = field(factory=DecayingSum)
     duration_seconds: float = 0.0
+    first_event_excess: float = 0.0
     short_at: float = float("-inf")
     _foreign: dict[int, ForeignSlots] = field(factory=dict)
     _own_ends: dict[str, deque[float]] = field(factory=dict)
@@ -123,6 +127,12 @@
         if not is_in_time:
             self.misses[priority].add(1.0, now=now)
 
+    def record_first_event(self, excess_seconds: float) -> None:
+        """Count by how much a first event took longer than at an idle engine."""
+        excess = min(max(0.0, excess_seconds), MAX_EXCESS_SECONDS)
+        change = excess - self.first_event_excess
+        self.first_event_excess += DURATION_WEIGHT * change
+
     def record_end(self, server: str, seconds: float, *, now: float) -> None:
         """Count a request that ended `seconds` after it was sent to a server."""
         if self.duration_seconds:
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -149,6 +149,7 @@
                 while isinstance(outcome, Superseded):
                     outcome = await outcome.continuation
             except PlacementRefused as exc:
+                self._telemetry.record_refusal(admitted=call.admitted, code=exc.code)
                 call.retry_at = exc.retry_at
                 call.retry_seconds = exc.retry_seconds
                 await self._end_without_retry(call, exc.code, response)
--- a/packages/gateway/eelgrassdale_gateway/loads.py
+++ b/packages/gateway/eelgrassdale_gateway/loads.py
@@ -44,7 +44,8 @@
     """One request sent to a backend server.
 
     `tokens` are its prompt tokens not yet read; 0 once the response has begun.
-    `sent_at` is when it was sent, `objective_at` when its first event is due.
+    `sent_at` is when it was sent, `objective_at` when its first event is due,
+    `min_first_event_seconds` how long that takes at an idle engine.
     """
 
     server: str
@@ -53,6 +54,7 @@
     service: str = ""
     priority: int = 0
     objective_at: float = float("inf")
+    min_first_event_seconds: float = 0.0
 
 
 @define
--- a/packages/gateway/eelgrassdale_gateway/ordering.py
+++ b/packages/gateway/eelgrassdale_gateway/ordering.py
@@ -15,9 +15,9 @@
 # Reserve for the more urgent requests, per share of them that got no response in
 # time: with a sixth missed, all that they need is reserved.
 RESERVE_GAIN = 6.0
-# Fraction reserved at each server while more urgent requests keep arriving: two of
-# twelve slots. With one, requests of several gateways met at the same server too often.
-MIN_RESERVED_SHARE = 0.15
+# Fraction reserved at each server while more urgent requests keep arriving: one of
+# twelve slots, so that there is one before the first of them comes late.
+MIN_RESERVED_SHARE = 0.1
 # Arrivals a second from which a priority counts as arriving.
 MIN_ARRIVAL_RATE = 0.05
 # Part of its time after which a waiting request goes before younger ones.
@@ -60,12 +60,17 @@
     return sorted(waiters, key=lambda w: _rank(w, now))
 
 
+def has_aged(waiter: Waiter, now: float) -> bool:
+    """Return whether a request has waited for half of the longest late wait."""
+    max_wait = MAX_LATE_WAIT_SHARE * (waiter.expires_at - waiter.arrived_at)
+    return now - waiter.arrived_at > AGED_SHARE * max_wait
+
+
 def _rank(waiter: Waiter, now: float) -> tuple[float, ...]:
     waited = now - waiter.arrived_at
     if is_late(waiter, now):
-        max_wait = MAX_LATE_WAIT_SHARE * (waiter.expires_at - waiter.arrived_at)
-        is_aged = waited > AGED_SHARE * max_wait
-        return (0 if is_aged else 2, waiter.priority, 0, 0.0, waiter.objective_at)
+        rank = 0 if has_aged(waiter, now) else 2
+        return (rank, waiter.priority, 0, 0.0, waiter.objective_at)
     is_aged = is_late(waiter, now + waited)
     work_seconds = waiter.min_first_event_seconds + waiter.streaming_seconds
     return (
@@ -106,6 +111,7 @@
     *,
     priority: int,
     is_late: bool,
+    is_aged: bool,
     can_queue: bool,
 ) -> float:
     """Return `request_limit` for a service that is short of capacity.
@@ -115,9 +121,11 @@
     limit = request_limit(service, server)
     if service.engine is not None and not can_queue:
         limit = max(server.slots, 1)
-    if is_late:
-        # Few requests are kept that become late, and none of them is refused.
+    if is_late and is_aged:
+        # It has waited for long and is not refused any more.
         return limit
     if has_more_urgent(shortage, priority):
         limit *= 1 - max(MIN_RESERVED_SHARE, reserved_share(shortage, priority))
+    if is_late:
+        return min(limit, request_limit(service, server, is_late=True))
     return limit
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -326,6 +326,11 @@
             "Requests that wait for a backend server.",
             self.dispatcher.waiting_count,
         )
+        self.telemetry.service_flags(
+            "overload",
+            "1 while requests of a service are refused or late as capacity is short.",
+            self.dispatcher.overloads.services,
+        )
         self.telemetry.gauge(
             "live_gateways",
             "Live gateways, this one included.",
--- a/packages/gateway/eelgrassdale_gateway/telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/telemetry.py
@@ -4,9 +4,13 @@
 the reason. The events are listed in docs/OPERATIONS.md.
 """
 
+from collections.abc import Callable, Iterable, Iterator
+
 import structlog
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
+from prometheus_client.metrics_core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 
 from eelgrassdale.results import ResultCode
 from eelgrassdale_gateway.admission import AdmittedRequest
@@ -20,6 +24,27 @@
 log = structlog.get_logger(__name__)
 
 
+class _ServiceFlags(Collector):
+    """A gauge that is 1 for each service that a function returns."""
+
+    def __init__(
+        self, name: str, description: str, read_services: Callable[[], Iterable[str]]
+    ) -> None:
+        self._name = name
+        self._description = description
+        self._read_services = read_services
+        self._seen: set[str] = set()
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        """Yield the gauge; services that were flagged before are 0."""
+        flagged = set(self._read_services())
+        self._seen |= flagged
+        family = GaugeMetricFamily(self._name, self._description, labels=["service"])
+        for service in sorted(self._seen):
+            family.add_metric([service], float(service in flagged))
+        yield family
+
+
 class RequestTelemetry:
     """Writes the log lines of requests and maintains their metrics."""
 
@@ -51,6 +76,18 @@
             buckets=SECONDS_BUCKETS,
             registry=self._registry,
         )
+        self._refusal_counter = Counter(
+            "eelgrassdale_refused",
+            "Requests refused without a place at a backend server.",
+            ["reason", "priority", "service"],
+            registry=self._registry,
+        )
+        self._late_start_counter = Counter(
+            "eelgrassdale_started_late",
+            "Requests sent to a backend server too late to meet their objective.",
+            ["priority", "service"],
+            registry=self._registry,
+        )
         self._gauges: dict[str, Gauge] = {}
 
     def gauge(self, name: str, description: str, read_value) -> None:
@@ -59,6 +96,14 @@
         gauge.set_function(read_value)
         self._gauges[name] = gauge
 
+    def service_flags(
+        self, name: str, description: str, read_services: Callable[[], Iterable[str]]
+    ) -> None:
+        """Add a gauge that is 1 for the services that `read_services` returns."""
+        self._registry.register(
+            _ServiceFlags(f"eelgrassdale_{name}", description, read_services)
+        )
+
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
@@ -75,6 +120,10 @@
     ) -> None:
         """Log the placement of a request and observe its waiting time."""
         self._waiting_histogram.labels(admitted.service).observe(waited_seconds)
+        if is_late:
+            self._late_start_counter.labels(
+                str(admitted.priority), admitted.service
+            ).inc()
         log.info(
             "request placed",
             request=admitted.request_id,
@@ -87,6 +136,12 @@
             parts=admitted.logged_parts,
         )
 
+    def record_refusal(self, *, admitted: AdmittedRequest, code: ResultCode) -> None:
+        """Count a request that got no place at a backend server."""
+        self._refusal_counter.labels(
+            code.name, str(admitted.priority), admitted.service
+        ).inc()
+
     def record_response_start(self, *, service: str, seconds: float) -> None:
         """Observe the seconds from arrival to the head of the response."""
         self._first_response_histogram.labels(service).observe(seconds)
--- a/packages/gateway/eelgrassdale_gateway/tests/overloadmodel.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/overloadmodel.py
@@ -70,6 +70,9 @@
     account: str = ""
     gateways: range | None = None
 
+    def with_(self, **changes):
+        return evolve(self, **changes)
+
 
 @define
 class Stream:
@@ -159,6 +162,8 @@
         )
         self.outcomes: list[Outcome] = []
         self.counts = Counter()
+        # Arrival time and priority of each response in time, relative to its own send.
+        self.in_time: list[tuple[float, int]] = []
         self.state = RoutingState(version_grace_seconds=5.0, start_grace=1.0)
         service = Service(name="m", engine=self.profile)
         self.state.apply_table(RouteTable(version=1, services={"m": service}))
@@ -202,10 +207,11 @@
     def capacity(self):
         """Streams of 90 tokens that all engines together complete in a second."""
         step = self.profile.decode_step_seconds * FULL_STEP_FACTOR
-        slots = sum(e.slots for e in self.engines.values() if not e.is_lost)
+        engines = [e for e in self.engines.values() if not e.is_lost]
+        slots = sum(e.slots for e in engines)
         prefill = 950 / self.profile.prefill_tokens_per_second
         # Another prompt is read in a pass for each stream that ends.
-        return 1 / (90 * step / slots + prefill / len(self.engines))
+        return 1 / (90 * step / slots + prefill / len(engines))
 
     def play(self, kinds, *, seconds, losses=(), losses_at=5.0):
         """Run the callers for some seconds, with the loss of engines; then drain."""
@@ -301,6 +307,8 @@
                         await asyncio.sleep(LINK_SECONDS)
                         gateway.record_response_start(in_flight)
                         outcome.first_event_after = self.loop.time() - began
+                        if self.loop.time() <= waiter.objective_at:
+                            self.in_time.append((now - self.start, kind.priority))
                         await stream.ended
                     return None
                 self.counts["rejected"] += 1
--- a/packages/measures/eelgrassdale_measures/dispatch_cost.py
+++ b/packages/measures/eelgrassdale_measures/dispatch_cost.py
@@ -1,4 +1,4 @@
-"""Processor time of one event at the dispatcher of a gateway under overload.
+"""Processor time of one event at the dispatcher of a gateway, in calm and overload.
 
 An event is the start of a response, after which the gateway looks for a place for
 its waiting requests. All backend servers are full, as under overload, and all peers
@@ -57,7 +57,15 @@
 
 
 def run() -> Iterable[dict[str, object]]:
-    """Yield two lines for each fleet size, without and with limits of servers."""
+    """Yield lines for each fleet size: in calm, and without and with limits."""
+    for size in SIZES:
+        yield {
+            "is_calm": True,
+            "gateways": size.gateways,
+            "servers": size.servers,
+            "waiting": 0,
+            "event_ms": round(1000 * asyncio.run(_seconds_per_calm_event(size)), 3),
+        }
     for size, is_limited in itertools.product(SIZES, (False, True)):
         seconds = asyncio.run(_seconds_per_event(size, is_limited=is_limited))
         yield {
@@ -95,8 +103,27 @@
     return seconds
 
 
-def _full_fleet(size: FleetSize, clock: ManualClock) -> Dispatcher:
-    """Return the dispatcher of a gateway that knows all servers to be full."""
+async def _seconds_per_calm_event(size: FleetSize) -> float:
+    """Return the cost of placing a request while half of the slots are free."""
+    clock = ManualClock()
+    dispatcher = _full_fleet(size, clock, requests=1)
+    first = asyncio.ensure_future(dispatcher.place(_waiter(clock)))
+    await asyncio.sleep(0)
+    # From here on, no server counts as newly available.
+    clock.advance(seconds=1.0)
+    dispatcher.dispatch_waiting()
+    await first
+    started_at = time.process_time()
+    for _ in range(EVENT_COUNT):
+        _, in_flight = await dispatcher.place(_waiter(clock))
+        dispatcher.loads.record_end(in_flight)
+    return (time.process_time() - started_at) / EVENT_COUNT
+
+
+def _full_fleet(
+    size: FleetSize, clock: ManualClock, *, requests: int = 2 * SLOTS
+) -> Dispatcher:
+    """Return the dispatcher of a gateway that knows the loads of all servers."""
     routing_state = RoutingState(version_grace_seconds=7.0, start_grace=1.0)
     group = GatewayGroup(
         own_name="g-0", members=frozenset(f"g-{n}" for n in range(size.gateways))
@@ -129,7 +156,7 @@
     for peer in range(1, size.gateways):
         loads = {
             f"s-{(peer * SERVERS_PER_REPORT + n) % size.servers}": Load(
-                requests=2 * SLOTS, tokens=0
+                requests=requests, tokens=0
             )
             for n in range(SERVERS_PER_REPORT)
         }
