--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -18,7 +18,6 @@
 from eelgrassdale.pauses import PAUSE_CHECK_INTERVAL_SECONDS, PauseDetector
 from eelgrassdale_gateway.advisories import AdvisoryExchange
 from eelgrassdale_gateway.attempts import AttemptRunner
-from eelgrassdale_gateway.callergauges import add_caller_gauges
 from eelgrassdale_gateway.copycheck import CopyCheck
 from eelgrassdale_gateway.dispatcher import Dispatcher
 from eelgrassdale_gateway.duties import (
@@ -32,6 +31,7 @@
 from eelgrassdale_gateway.eras import START, EraTracker, Position
 from eelgrassdale_gateway.forwarding import Forwarder
 from eelgrassdale_gateway.gatewaysettings import GatewaySettings
+from eelgrassdale_gateway.gauges import add_gauges
 from eelgrassdale_gateway.headernames import HeaderNames
 from eelgrassdale_gateway.messages import DutyNotice
 from eelgrassdale_gateway.mirror import Mirror
@@ -169,7 +169,13 @@
             close_idle_backend_connections=self._pool.close_some,
         )
         self.telemetry = RequestTelemetry()
-        self._add_gauges()
+        add_gauges(
+            self.telemetry,
+            dispatcher=self.dispatcher,
+            caller_budget=self.caller_budget,
+            live_gateway_count=self._live_gateway_count,
+            clock=self._clock,
+        )
         self._retry_budgets = RetryBudgets(
             clock=self._clock,
             ratio=cfg.retry_ratio,
@@ -462,42 +468,6 @@
             self.duties.send_final_counts()
         log.info("stopped", handling=self.server.active_requests)
 
-    def _add_gauges(self) -> None:
-        self.telemetry.gauge(
-            "waiting_requests",
-            "Requests that wait for a backend server.",
-            self.dispatcher.waiting_count,
-        )
-        self.telemetry.service_flags(
-            "overload",
-            "1 while requests of a service are refused or late as capacity is short.",
-            self.dispatcher.overloads.services,
-        )
-        self.telemetry.gauge(
-            "live_gateways",
-            "Live gateways, this one included.",
-            self._live_gateway_count,
-        )
-        self.telemetry.gauge(
-            "quarantined_prompts",
-            "Combinations of prompt parts whose requests are refused.",
-            lambda: len(self.dispatcher.quarantine.active()),
-        )
-        self.telemetry.gauge(
-            "leaving_servers",
-            "Backend servers that said in a response that they leave.",
-            self.dispatcher.advisories.leaving_count,
-        )
-        self.telemetry.gauge(
-            "limited_servers",
-            "Backend servers that name a limit of requests.",
-            lambda: self.dispatcher.advisories.limited_count(
-                now=self._clock.monotonic()
-            ),
-        )
-
-        add_caller_gauges(self.telemetry.gauge, self.caller_budget)
-
     def _on_duty_notice(self, notice: DutyNotice) -> None:
         if self.duties is not None:
             self.duties.handle_notice(notice)
