Decide by shortage only where priorities compete for a service

Change: a service counts as short of capacity only if routes of different priorities lead to it; elsewhere requests are placed and refused as before.

--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -257,6 +257,8 @@
             return
         now = self._clock.monotonic()
         demand = self._demands[name]
+        table = self._routing_state.table
+        demand.competes = table is not None and name in table.competing_services
         gateway_count = self._live_gateway_count()
         is_short = demand.is_short(now)
         # While capacity is short, the slots that the others' requests leave are divided
--- a/packages/gateway/eelgrassdale_gateway/estimates.py
+++ b/packages/gateway/eelgrassdale_gateway/estimates.py
@@ -28,8 +28,8 @@
 # Part of all arrivals that is counted as going before a late request. The rates of a
 # gateway with few requests vary by a quarter, which is no reason for refusals.
 COUNTED_ARRIVALS_SHARE = 0.6
-# Part of the measured starts a second that is expected further on; the measured rate
-# of a gateway with few requests varies by a quarter.
+# Part of the recent starts a second that is expected further on; the rate of a gateway
+# with few requests varies by a quarter.
 MEASURED_RATE_SHARE = 0.75
 # Longer excesses of a first event over its estimate come from requests that waited for
 # a slot at an engine, which placement avoids.
@@ -105,8 +105,13 @@
 
 @define(kw_only=True)
 class ServiceDemand:
-    """Recent arrivals, starts and ends of one gateway's requests for a service."""
+    """Recent arrivals, starts and ends of one gateway's requests for a service.
 
+    Only where requests of different priorities compete for the service does a lack of
+    capacity count as shortage: some of them then have to wait for others.
+    """
+
+    competes: bool = False
     arrivals: dict[int, DecayingSum] = field(factory=lambda: defaultdict(DecayingSum))
     outcomes: dict[int, DecayingSum] = field(factory=lambda: defaultdict(DecayingSum))
     misses: dict[int, DecayingSum] = field(factory=lambda: defaultdict(DecayingSum))
@@ -119,7 +124,7 @@
 
     def is_short(self, now: float) -> bool:
         """Return whether capacity was short a moment ago."""
-        return now - self.short_at <= SHORTAGE_SECONDS
+        return self.competes and now - self.short_at <= SHORTAGE_SECONDS
 
     def record_outcome(self, priority: int, *, is_in_time: bool, now: float) -> None:
         """Count the first event of a request, or its refusal."""
--- a/packages/gateway/eelgrassdale_gateway/model.py
+++ b/packages/gateway/eelgrassdale_gateway/model.py
@@ -158,6 +158,29 @@
             end = path.rfind("/", 0, end)
         return None
 
+    @cached_property
+    def competing_services(self) -> frozenset[str]:
+        """Services to which routes of different priorities lead.
+
+        Examples
+        --------
+        >>> routes = [
+        ...     Route(name=str(n), host="h", prefix=f"/{n}/", splits=splits, priority=n)
+        ...     for n, splits in enumerate(
+        ...         [(TrafficSplit(service="m", weight=1.0),)] * 2
+        ...         + [(TrafficSplit(service="p", weight=1.0),)]
+        ...     )
+        ... ]
+        >>> RouteTable(version=1, routes=tuple(routes)).competing_services
+        frozenset({'m'})
+
+        """
+        priorities: dict[str, set[int]] = {}
+        for route in self.routes:
+            for split in route.splits:
+                priorities.setdefault(split.service, set()).add(route.priority)
+        return frozenset(name for name, known in priorities.items() if len(known) > 1)
+
     def routes_of_host(self, host: str) -> tuple[Route, ...]:
         """Return the routes of a host."""
         return tuple(self._by_host.get(host, {}).values())
--- a/packages/gateway/eelgrassdale_gateway/tests/overloadmodel.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/overloadmodel.py
@@ -15,8 +15,10 @@
 from eelgrassdale_gateway.model import (
     BackendServer,
     EngineProfile,
+    Route,
     RouteTable,
     Service,
+    TrafficSplit,
 )
 from eelgrassdale_gateway.queueing import Waiter, retry_after_seconds
 from eelgrassdale_gateway.routingstate import RoutingState
@@ -148,7 +150,9 @@
 class Deployment:
     """Gateways, engines and callers of one service."""
 
-    def __init__(self, *, gateways=8, slots=(12,) * 6, seed=1, **profile):
+    def __init__(
+        self, *, gateways=8, slots=(12,) * 6, seed=1, priorities=(0, 1, 2), **profile
+    ):
         self.loop = SimulatedLoop()
         self.rng = Random(seed)
         self.profile = EngineProfile(
@@ -166,7 +170,19 @@
         self.in_time: list[tuple[float, int]] = []
         self.state = RoutingState(version_grace_seconds=5.0, start_grace=1.0)
         service = Service(name="m", engine=self.profile)
-        self.state.apply_table(RouteTable(version=1, services={"m": service}))
+        routes = tuple(
+            Route(
+                name=str(priority),
+                host="h",
+                prefix=f"/{priority}/",
+                splits=(TrafficSplit(service="m"),),
+                priority=priority,
+            )
+            for priority in priorities
+        )
+        self.state.apply_table(
+            RouteTable(version=1, routes=routes, services={"m": service})
+        )
         self.engines = {
             f"s-{n}": Engine(self.profile, count) for n, count in enumerate(slots)
         }
--- a/packages/gateway/eelgrassdale_gateway/tests/test_overload.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_overload.py
@@ -154,6 +154,20 @@
     assert not [line for line in logs if line["event"].startswith("overload")]
 
 
+def test_service_without_competing_priorities_is_served_as_before():
+    """Guards against early refusals where no request is more urgent than others.
+
+    A quiet day of a deployment with one priority had refusals.
+    """
+    deployment = Deployment(priorities=(1,))
+    callers = [kind.with_(priority=1) for kind in kinds(deployment, 0.75)]
+    with capture_logs() as logs:
+        deployment.play(burst(callers, 2), seconds=LAST)
+    assert not [line for line in logs if line["event"].startswith("overload")]
+    first_refusal = min(w for o in deployment.outcomes for w in o.refusal_waits)
+    assert first_refusal > 1 / 8
+
+
 def test_begin_and_end_of_an_overload_are_logged_once_at_each_gateway():
     deployment = Deployment()
     callers = burst(kinds(deployment, 0.6), 2.5)
--- a/packages/measures/eelgrassdale_measures/dispatch_cost.py
+++ b/packages/measures/eelgrassdale_measures/dispatch_cost.py
@@ -19,8 +19,10 @@
 from eelgrassdale_gateway.model import (
     BackendServer,
     EngineProfile,
+    Route,
     RouteTable,
     Service,
+    TrafficSplit,
 )
 from eelgrassdale_gateway.queueing import Waiter
 from eelgrassdale_gateway.routingstate import RoutingState
@@ -120,6 +122,16 @@
     return (time.process_time() - started_at) / EVENT_COUNT
 
 
+def _route(priority: int) -> Route:
+    return Route(
+        name=str(priority),
+        host="h",
+        prefix=f"/{priority}/",
+        splits=(TrafficSplit(service="m"),),
+        priority=priority,
+    )
+
+
 def _full_fleet(
     size: FleetSize, clock: ManualClock, *, requests: int = 2 * SLOTS
 ) -> Dispatcher:
@@ -137,7 +149,11 @@
         seed=1,
     )
     routing_state.apply_table(
-        RouteTable(version=1, services={"m": Service(name="m", engine=ENGINE)})
+        RouteTable(
+            version=1,
+            routes=tuple(_route(priority) for priority in (0, 1)),
+            services={"m": Service(name="m", engine=ENGINE)},
+        )
     )
     routing_state.set_servers(
         {
