Name the page of requirements for what it is

Cause: its name said when it was written. Change: docs/design/requirements.md, and the references to it.

--- a/packages/gateway/eelgrassdale_gateway/tests/test_overload.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_overload.py
@@ -1,7 +1,7 @@
 """Tests of a service that is short of capacity, on the load model.
 
 Each load is played by several gateways with their own queues and their late view of
-the others. The bounds are those of docs/design/work-of-december.md, part 4.
+the others. The bounds are those of docs/design/requirements.md, part 4.
 """
 
 from collections import Counter
