--- a/review/6/case.py
+++ b/review/6/case.py
@@ -43,7 +43,9 @@
     store.write("servers", runner.name, runner.entry())
     store.write("config", "main", configuration(1))
     size = len(json.dumps(configuration(1)))
-    record(f"a configuration has {ROUTES + 1} routes and {size} bytes (limit 1,048,576)")
+    record(
+        f"a configuration has {ROUTES + 1} routes and {size} bytes (limit 1,048,576)"
+    )
     front = s.Front("front-1", folder, store, memory_mb=MEMORY_MB)
     front.write_settings(front.peer_port)
     front.spawn()
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -448,7 +448,9 @@
 
     async def ready(self, timeout=2.0):
         """Return the status of a question for readiness, 0 without an answer."""
-        answer = await ask((self.ip, self.ports["ready"]), "GET", "/v1/ready", timeout=timeout)
+        answer = await ask(
+            (self.ip, self.ports["ready"]), "GET", "/v1/ready", timeout=timeout
+        )
         return answer.status
 
     async def wait_ready(self, seconds=20.0):
