--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,11 +16,11 @@
 ROUTES = 110 + 3 * 392
 # The pause of `config_storm`.
 GAP_S = 0.33
-SECONDS = 95.0
+SECONDS = 90.0
 
 
 def configuration(version):
-    routes = [s.route("desk", "/desk/", "desk", "safe")]
+    routes = [s.route("desk", "/desk/", "desk")]
     routes += [
         s.stream_route(
             f"r-{number:06x}",
@@ -39,6 +39,7 @@
     store = s.Store()
     await store.start()
     runner = s.Runner("i-0", "desk")
+    runner.work_s = 0.3
     await runner.start()
     store.write("servers", runner.name, runner.entry())
     store.write("config", "main", configuration(1))
@@ -49,32 +50,37 @@
     front = s.Front("front-1", folder, store, memory_mb=MEMORY_MB)
     front.write_settings(front.peer_port)
     front.spawn()
+    limit = callers = None
     try:
         await front.wait_ready()
         record(f"version 1: peak memory of the process {front.peak_mb():.0f} MB")
+        callers = s.Kept(front, [runner], record)
+        # More than `ContactMs`.
+        await asyncio.sleep(4)
+        limit = s.MemoryLimit(front, record)
         until = time.monotonic() + SECONDS
         version = 1
-        answers = {}
-        while time.monotonic() < until and front.peak_mb() <= MEMORY_MB:
+        while time.monotonic() < until and not limit.kills:
             if s.TROUBLE:
                 version += 1
                 store.write("config", "main", configuration(version))
             await asyncio.sleep(GAP_S)
-            headers = s.request_headers(s.attempt_id())
-            answer = await s.ask(front.address, "GET", "/desk/x", headers)
-            answers[answer.status] = answers.get(answer.status, 0) + 1
             # The store keeps 20 s of history.
             del store.history[: -int(20 / GAP_S)]
             store.oldest = store.history[0][0] - 1
-            if version % 30 == 0:
+            if s.TROUBLE and version % 30 == 0:
                 record(f"version {version}: peak {front.peak_mb():.0f} MB")
-        record(f"after {version - 1} changes: peak {front.peak_mb():.0f} MB")
-        record(f"ordinary requests: {answers}")
-        return front.peak_mb() > MEMORY_MB
+        await asyncio.sleep(1)
+        record(f"after {version - 1} changes: killed {limit.kills} times")
+        callers.report()
+        return len(callers.lost) > 3
     finally:
+        for task in (limit, callers):
+            if task is not None:
+                task.stop()
         front.kill()
         store.stop()
         runner.stop()
 
 
-s.main(case, FOLDER)
+s.main(case, FOLDER / "record.txt")
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # alone, so building means compiling them.
 set -e
 cd "$(dirname "$0")"
-python3 -m py_compile standins-2/*.py 6/*.py 7/*.py 8/*.py 10/*.py
+python3 -m py_compile standins-2/*.py 6/*.py 7/*.py 8/*.py 9/*.py
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -10,6 +10,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -20,15 +21,17 @@
 HOST = "shop.example"
 KEY = "key-of-the-tenant"
 TENANT = "tenant-1"
+# A case has 120 s.
+CASE_SECONDS = 115.0
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ZONES = {"zone-a": "region-1", "zone-b": "region-2"}
 
 
 class Record:
-    """The file `record.txt` in the folder of a case."""
+    """The file in which a case writes what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self._file = (Path(folder) / "record.txt").open("w")
+    def __init__(self, path):
+        self._file = Path(path).open("w")
         self._start = time.monotonic()
 
     def __call__(self, text):
@@ -401,7 +404,8 @@
     def peak_mb(self):
         status = Path(f"/proc/{self.process.pid}/status").read_text()
         line = next(x for x in status.splitlines() if x.startswith("VmHWM"))
-        return int(line.split()[1]) / 1000
+        # Of 1,048,576 bytes: the smaller number of the two readings of `MemoryMb`.
+        return int(line.split()[1]) / 1024
 
 
 class Front(Program):
@@ -509,12 +513,14 @@
     )
 
 
-def main(case, folder):
+def main(case, record_path):
     """Run `case(record, temporary folder)`; it returns whether the rule was broken."""
-    record = Record(folder)
+    # So that a case that is stopped ends what it started, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    record = Record(record_path)
     with tempfile.TemporaryDirectory() as temporary:
         try:
-            is_broken = asyncio.run(case(record, temporary))
+            is_broken = asyncio.run(_within_limit(case(record, temporary)))
         except CannotRun as exc:
             record(f"cannot run: {exc}")
             raise SystemExit(2) from None
@@ -522,6 +528,14 @@
     raise SystemExit(1 if is_broken else 0)
 
 
+async def _within_limit(case):
+    try:
+        async with asyncio.timeout(CASE_SECONDS):
+            return await case
+    except TimeoutError:
+        raise CannotRun(f"not done after {CASE_SECONDS:.0f} s") from None
+
+
 class StreamRunner(Runner):
     """A model runner: each answer is a stream of events."""
 
@@ -581,59 +595,181 @@
     return value
 
 
-class Ordinary:
-    """Sound callers of one front, and the platform's questions for readiness."""
+class Kept:
+    """Sound callers of one front, each with a connection that it keeps.
 
-    def __init__(self, front, target="/desk/x"):
+    Each sends one unsafe request after the other. `lost` are the attempts on a connection
+    that had carried others before, which a runner received, and whose connection ended
+    without a byte of an answer: those that LOST counts "at any time".
+    """
+
+    def __init__(self, front, runners, record, *, callers=20, target="/desk/x"):
+        self.sent = 0
         self.answers = {}
-        self.silent_s = 0.0
+        self.lost = []
         self._front = front
+        self._runners = runners
+        self._record = record
         self._target = target
-        self._ready_at = time.monotonic()
+        self._tasks = [asyncio.ensure_future(self._call()) for _ in range(callers)]
+
+    def stop(self):
+        for task in self._tasks:
+            task.cancel()
+
+    def report(self):
+        runs = sum(len(runner.runs) for runner in self._runners)
+        self._record(f"kept connections: {self.sent} sent, answers {self.answers}")
+        self._record(f"run by the runners: {runs}; LOST: {len(self.lost)}")
+
+    async def _call(self):
+        while True:
+            writer = None
+            try:
+                async with asyncio.timeout(1.0):
+                    reader, writer = await asyncio.open_connection(*self._front.address)
+                await self._use(reader, writer)
+            except (OSError, TimeoutError):
+                pass
+            finally:
+                if writer is not None:
+                    writer.transport.abort()
+            await asyncio.sleep(0.2)
+
+    async def _use(self, reader, writer):
+        for number in range(1_000_000):
+            attempt = attempt_id()
+            lines = [f"POST {self._target} HTTP/1.1", f"Host: {HOST}"]
+            lines += [f"{n}: {v}" for n, v in request_headers(attempt, 5000)]
+            lines.append("Content-Length: 2")
+            writer.write(("\r\n".join(lines) + "\r\n\r\n{}").encode())
+            self.sent += 1
+            try:
+                async with asyncio.timeout(5.0):
+                    line, headers, _ = await read_message(reader)
+            except TimeoutError:
+                self._count("none in time")
+                return
+            except (OSError, asyncio.IncompleteReadError) as exc:
+                has_part = bool(getattr(exc, "partial", b""))
+                self._count("cut" if has_part else "closed without an answer")
+                if number and not has_part and self._has_run(attempt):
+                    self.lost.append(attempt)
+                    self._record(f"LOST: {attempt}, at a runner, closed without answer")
+                return
+            self._count(line.split(" ")[1])
+            if headers.get("connection", "").lower() == "close":
+                return
+
+    def _count(self, end):
+        self.answers[end] = self.answers.get(end, 0) + 1
+
+    def _has_run(self, attempt):
+        return any(attempt in runner.runs for runner in self._runners)
+
+
+class MemoryLimit:
+    """The platform's limit: a process that exceeds `MemoryMb` is killed.
+
+    It is started again after a short delay.
+    """
+
+    def __init__(self, front, record):
+        self.kills = 0
+        self._front = front
+        self._record = record
+        self._task = asyncio.ensure_future(self._watch())
+
+    def stop(self):
+        self._task.cancel()
+
+    async def _watch(self):
+        while True:
+            await asyncio.sleep(0.02)
+            peak_mb = self._front.peak_mb()
+            if peak_mb <= self._front.memory_mb:
+                continue
+            self.kills += 1
+            limit = self._front.memory_mb
+            self._record(
+                f"the process has {peak_mb:.0f} MB of {limit} MB: it is killed"
+            )
+            self._front.kill()
+            await asyncio.sleep(0.5)
+            self._front.spawn()
+
+
+class Ordinary:
+    """Sound callers of one front, each on a connection of its own.
+
+    They send unsafe requests, which sound callers await to their deadline. `late` are
+    those without an answer at the route's `TimeoutMs`, `silent` those of them without one
+    half a second later.
+    """
+
+    timeout_s = 1.0
+    deadline_s = 6.0
+
+    def __init__(self, front, runners, record):
+        self.sent = self.late = self.silent = 0
+        self.answers = {}
+        self._front = front
+        self._runners = runners
+        self._record = record
 
     async def run(self, seconds, per_second=5):
-        """Send requests and ask for readiness once a second."""
         until = time.monotonic() + seconds
-        self._ready_at = time.monotonic()
-        asking = asyncio.ensure_future(self._ask_ready(until))
         jobs = []
         while time.monotonic() < until:
             jobs.append(asyncio.ensure_future(self._send()))
             await asyncio.sleep(1 / per_second)
-        await asyncio.gather(asking, *jobs)
+        await asyncio.gather(*jobs)
 
     @property
-    def served_share(self):
-        return self.answers.get(200, 0) / max(1, sum(self.answers.values()))
+    def is_config_broken(self):
+        """Of those unanswered at `TimeoutMs`, over half have none 0.5 s later."""
+        return 2 * self.silent > self.late
 
     async def _send(self):
-        headers = request_headers(attempt_id(), 2000)
-        answer = await ask(self._front.address, "GET", self._target, headers)
+        attempt = attempt_id()
+        headers = request_headers(attempt, int(self.deadline_s * 1000))
+        started_at = time.monotonic()
+        self.sent += 1
+        answer = await ask(
+            self._front.address,
+            "POST",
+            "/desk/x",
+            headers,
+            b"{}",
+            timeout=self.deadline_s,
+        )
+        seconds = time.monotonic() - started_at
+        self.late += seconds > self.timeout_s
+        self.silent += seconds > self.timeout_s + 0.5
         self.answers[answer.status] = self.answers.get(answer.status, 0) + 1
+        has_run = any(attempt in runner.runs for runner in self._runners)
+        self._record(
+            f"{attempt}: answer {answer.status or 'none'} after {seconds:.2f} s, "
+            f"{'run' if has_run else 'not run'}"
+        )
 
-    async def _ask_ready(self, until):
-        while time.monotonic() < until:
-            started_at = time.monotonic()
-            if await self._front.ready(timeout=2.0):
-                self._ready_at = time.monotonic()
-            self.silent_s = max(self.silent_s, time.monotonic() - self._ready_at)
-            await asyncio.sleep(max(0.0, started_at + 1.0 - time.monotonic()))
+    def report(self, when):
+        self._record(
+            f"{when}: {self.sent} sent, answers (0: none) {self.answers}, {self.late} "
+            f"unanswered at TimeoutMs, {self.silent} of these half a second later"
+        )
 
 
 async def crowd_case(record, folder, *, connections, behaviour, crowd_file):
-    """Serve ordinary callers beside a crowd; return whether the process hung.
-
-    It hung if it answered nothing at the path for readiness for over 3 s (three
-    questions of the platform in a row), and served fewer than half of the ordinary
-    requests, of 2 s each.
-    """
+    """Serve ordinary callers beside a crowd; return whether CONFIG was broken."""
     store = Store()
     await store.start()
     runners = [Runner(f"i-{number}", "desk") for number in range(2)]
     for runner in runners:
         await runner.start()
         store.write("servers", runner.name, runner.entry())
-    routes = [route("desk", "/desk/", "desk", "safe", MaxAttempts=2)]
+    timeout_ms = int(Ordinary.timeout_s * 1000)
+    routes = [route("desk", "/desk/", "desk", "unsafe", TimeoutMs=timeout_ms)]
     store.write("config", "main", configuration(7, routes, ["desk"]))
     front = Front("front-1", folder, store)
     front.write_settings(front.peer_port)
@@ -641,10 +777,11 @@
     crowd = None
     try:
         await front.wait_ready()
-        before = Ordinary(front)
+        # More than `ContactMs`.
+        before = Ordinary(front, runners, record)
         await before.run(4)
-        record(f"before: {before.answers}, longest silence {before.silent_s:.1f} s")
-        if before.served_share < 0.9:
+        before.report("before")
+        if before.late:
             raise CannotRun("the machine is too busy")
         if TROUBLE:
             record(f"a crowd of {connections} callers: {behaviour}")
@@ -652,15 +789,15 @@
             crowd = await asyncio.create_subprocess_exec(
                 "python3", str(crowd_file), *words, stdout=subprocess.PIPE
             )
-        beside = Ordinary(front)
-        await beside.run(15)
+        beside = Ordinary(front, runners, record)
+        await beside.run(14)
         if crowd is not None:
             text, _ = await crowd.communicate()
             record(f"the crowd: {text.decode().strip()}")
-        record(f"beside it: {beside.answers}, longest silence {beside.silent_s:.1f} s")
-        record(f"runs at the runners: {sum(len(r.runs) for r in runners)}")
+        beside.report("beside it" if TROUBLE else "without a crowd")
+        record(f"run by the runners: {sum(len(r.runs) for r in runners)}")
         record(f"the process is still there: {front.process.poll() is None}")
-        return beside.silent_s > 3 and beside.served_share < 0.5
+        return beside.is_config_broken
     finally:
         if crowd is not None and crowd.returncode is None:
             crowd.kill()
