--- a/review/6/case.py
+++ b/review/6/case.py
@@ -39,7 +39,7 @@
     store = s.Store()
     await store.start()
     runner = s.Runner("i-0", "desk")
-    runner.work_s = 0.3
+    runner.work_s = 1.0
     await runner.start()
     store.write("servers", runner.name, runner.entry())
     store.write("config", "main", configuration(1))
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -611,7 +611,11 @@
         self._runners = runners
         self._record = record
         self._target = target
-        self._tasks = [asyncio.ensure_future(self._call()) for _ in range(callers)]
+        # They begin one after the other within a second, so as not to go in step.
+        self._tasks = [
+            asyncio.ensure_future(self._call(number / callers))
+            for number in range(callers)
+        ]
 
     def stop(self):
         for task in self._tasks:
@@ -622,7 +626,8 @@
         self._record(f"kept connections: {self.sent} sent, answers {self.answers}")
         self._record(f"run by the runners: {runs}; LOST: {len(self.lost)}")
 
-    async def _call(self):
+    async def _call(self, delay):
+        await asyncio.sleep(delay)
         while True:
             writer = None
             try:
