Keep no values in the log of changes for followers

ChangeLog kept the last 2,048 changes of a kind with their values, some 1.2 MB for each change of a configuration of 1,287 routes. A follower is told only the last change of each object, so the others were kept in vain.

Ruled out: the encoded pages for followers and tables of requests in flight. The growth is the same without followers and slow requests.

Change: the log keeps the name, position and revision of each object's last change. Values come from the copy; a deletion needs none.

--- a/packages/gateway/eelgrassdale_gateway/changelog.py
+++ b/packages/gateway/eelgrassdale_gateway/changelog.py
@@ -5,19 +5,34 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 
+from attrs import frozen
+
 from eelgrassdale_gateway.eras import START, Position
 from eelgrassdale_gateway.objects import Change, StoredObject
 
-# Changes kept; followers that need older ones read the whole kind.
+# Changed objects that are known; followers that need older changes read the whole kind.
+# A name has at most 256 characters, so they take less than 1 MB in all.
 MAX_CHANGES = 2048
 # For this time after an outage of the store, followers are told of it. Entries that
 # lapsed meanwhile are reported as removed within it.
 OUTAGE_NEWS_SECONDS = 1.0
 
 
+@frozen
+class _LastChange:
+    """The last change of an object, without its value."""
+
+    position: Position
+    revision: int
+    is_deleted: bool
+
+
 class ChangeLog:
     """A copy of all objects of a kind, and its most recent changes.
 
+    Only the last change of each object is kept, and the values only in the copy, so
+    that the memory does not grow with the number of changes.
+
     `position` is that of the copy in the store's history, or None while the source is
     unavailable. `last_change` is the position of the newest change; copies of several
     nodes are compared by it. All changes that are kept are of one era.
@@ -38,7 +53,10 @@
         self.objects: Mapping[str, StoredObject] = {}
         self.position: Position | None = None
         self.last_change = START
-        self._changes: deque[tuple[Position, Change]] = deque()
+        # By name of the object, oldest first.
+        self._changes: dict[str, _LastChange] = {}
+        # Of changes that are known, also of those that later ones replaced.
+        self._revisions: deque[int] = deque(maxlen=MAX_CHANGES)
         self._history_start = START
         self._outage_seconds = 0.0
         self._outage_ended_at = float("-inf")
@@ -56,6 +74,7 @@
         newest = max((item.revision for item in objects.values()), default=0)
         self.last_change = max(self.last_change, Position(position.era, newest))
         self._changes.clear()
+        self._revisions.clear()
         self._history_start = position
         self._notify()
 
@@ -81,11 +100,9 @@
             else:
                 objects[item.name] = item
             self.last_change = max(self.last_change, Position(position.era, changed_at))
-            self._changes.append((position, change))
+            self._record_change(change, position)
         self.objects = objects
         self.position = position
-        while len(self._changes) > MAX_CHANGES:
-            self._history_start = self._changes.popleft()[0]
         self._notify()
 
     def mark_unavailable(self) -> None:
@@ -110,18 +127,17 @@
         """
         if position < self._history_start:
             return None
-        newest = {
-            change.object.name: change
-            for changed_at, change in self._changes
-            if changed_at > position
-        }
-        return tuple(newest.values())
+        return tuple(
+            self._restore_change(name, last)
+            for name, last in self._changes.items()
+            if last.position > position
+        )
 
     def revisions_after(self, revision: int) -> set[int]:
         """Return the revisions of the known changes after a revision of this era.
 
-        Changes that later ones replaced may be left out, and deletions whose entry has
-        no revision of its own.
+        Changes before the last `MAX_CHANGES` may be left out, and deletions whose entry
+        has no revision of its own.
 
         Examples
         --------
@@ -132,14 +148,32 @@
         ({3, 6}, {6})
 
         """
-        changes = (change.object for _, change in self._changes)
-        items = itertools.chain(changes, self.objects.values())
-        return {item.revision for item in items if item.revision > revision}
+        present = (item.revision for item in self.objects.values())
+        known = itertools.chain(self._revisions, present)
+        return {number for number in known if number > revision}
 
     async def wait(self) -> None:
         """Wait until the copy changes or becomes unavailable."""
         await self._changed.wait()
 
+    def _record_change(self, change: Change, position: Position) -> None:
+        item = change.object
+        self._revisions.append(item.revision)
+        # The entry moves to the end.
+        self._changes.pop(item.name, None)
+        self._changes[item.name] = _LastChange(
+            position, item.revision, change.is_deleted
+        )
+        while len(self._changes) > MAX_CHANGES:
+            oldest = next(iter(self._changes))
+            self._history_start = self._changes.pop(oldest).position
+
+    def _restore_change(self, name: str, last: _LastChange) -> Change:
+        if last.is_deleted:
+            item = StoredObject(name=name, revision=last.revision)
+            return Change(object=item, is_deleted=True)
+        return Change(object=self.objects[name])
+
     def _notify(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
