Pass on no request that a stopping process cannot answer

A connection that is being opened as the stop closes the unused ones counts as unused while its request is in the process already. And a request that is in the kernel as the busy connections are counted is not counted, and is passed on while the program ends.

Ruled out: the close itself. A response of this size is written in one turn, and what a caller has received before a reset stays readable.

Change: a connection counts as idle only if neither the process nor the kernel holds bytes of it. Connections that are being opened count as busy. From the last count on the server takes no request: what is still read gets 503, not run. A request of a closed connection is dropped.

Measured: 5 of 18 new cases of test_server.py failed before, all pass.

--- a/packages/core/eelgrassdale/http1/callerconnection.py
+++ b/packages/core/eelgrassdale/http1/callerconnection.py
@@ -78,6 +78,7 @@
     request_id_header: str
     limits: Callable[[], CallerLimits]
     is_draining: bool
+    takes_requests: bool
     active_requests: int
 
     def keeps_connections(self) -> bool:
@@ -140,6 +141,10 @@
             if exchange is None:
                 await self._flush()
                 return
+            if self._transport.is_closing():
+                # Its caller could not learn what became of the request.
+                log.debug("request dropped, as its connection is closed")
+                return
             await self._handle(exchange)
             self._on_request_end()
             if not exchange.is_finished or self._parser.our_state is not h11.DONE:
@@ -183,7 +188,7 @@
         """Close the connection at once; False if that would cut off a request."""
         if self._has_fresh_response():
             return False
-        if self.is_idle and has_unread_bytes(self._transport.get_extra_info("socket")):
+        if self.is_idle and self._has_input():
             return False
         is_reading = self._exchange is None and not self._is_ending and not self.is_idle
         if is_reading and not self._transport.get_write_buffer_size():
@@ -262,8 +267,18 @@
         self._update_charge()
 
     def is_busy(self) -> bool:
-        """Return whether a request is handled, or a response not yet sent whole."""
-        return not self.is_idle or self._transport.get_write_buffer_size() > 0
+        """Return whether a request has arrived, or a response is not yet sent whole."""
+        return (
+            not self.is_idle
+            or self._transport.get_write_buffer_size() > 0
+            or self._has_input()
+        )
+
+    def _has_input(self) -> bool:
+        """Return whether the process or the kernel holds bytes that were not parsed."""
+        return self._protocol.unread > 0 or has_unread_bytes(
+            self._transport.get_extra_info("socket")
+        )
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request has begun."""
@@ -279,10 +294,8 @@
         self._transport.resume_reading()
 
     def close_if_unused(self) -> None:
-        """Close an idle connection, unless a request has reached the kernel."""
-        if self.is_idle and not has_unread_bytes(
-            self._transport.get_extra_info("socket")
-        ):
+        """Close an idle connection, unless a request has reached this machine."""
+        if self.is_idle and not self._has_input():
             self._writer.close()
 
     async def send_head(self, status: int, headers: Headers) -> None:
@@ -442,6 +455,10 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         """Run the handler, and cancel it when the caller closes the connection."""
+        if not self._server.takes_requests:
+            headers = (("retry-after", str(REFUSED_RETRY_SECONDS)),)
+            await exchange.respond(503, headers, b"the server has stopped\n")
+            return
         if not self._share.begin_request():
             self._share.budget.refused_requests += 1
             headers = (("retry-after", str(REFUSED_RETRY_SECONDS)),)
--- a/packages/core/eelgrassdale/http1/server.py
+++ b/packages/core/eelgrassdale/http1/server.py
@@ -56,6 +56,8 @@
         self.request_id_header = request_id_header
         self.limits = limits
         self.is_draining = False
+        # False once the process ends; a request that is still read gets status 503.
+        self.takes_requests = True
         self.active_requests = 0
         # The share looks among them for those to close.
         self._connections: set[CallerConnection] = self.share.members
@@ -78,8 +80,12 @@
 
     @property
     def busy_connections(self) -> int:
-        """Number of connections with a request, or a response not yet sent whole."""
-        return sum(conn.is_busy() for conn in self._connections)
+        """Number of connections with a request, or a response not yet sent whole.
+
+        Those that are being opened count, as a request may have come with them.
+        """
+        opening = len(self._tasks) - len(self._connections)
+        return opening + sum(conn.is_busy() for conn in self._connections)
 
     def stop_listening(self) -> None:
         """Stop accepting connections and close the idle ones at once."""
@@ -91,7 +97,8 @@
         """Stop accepting connections and close those that no request has reached.
 
         A connection on which a request has arrived, but was not read yet, is served:
-        closing it would cut the request off without a response.
+        closing it would cut the request off without a response. `close_unused` closes
+        those that were being opened meanwhile.
         """
         self._has_stopped_gracefully = True
         self._listener.close()
@@ -103,6 +110,10 @@
             await asyncio.sleep(0)
         for conn in paused:
             conn.resume_reading()
+        self.close_unused()
+
+    def close_unused(self) -> None:
+        """Close the connections that no request has reached."""
         for conn in list(self._connections):
             conn.close_if_unused()
 
--- a/packages/core/eelgrassdale/http1/sockets.py
+++ b/packages/core/eelgrassdale/http1/sockets.py
@@ -31,7 +31,12 @@
 
 
 def has_unread_bytes(sock: socket.socket) -> bool:
-    """Return whether the kernel holds bytes, or the end of the stream, to be read."""
+    """Return whether the kernel holds bytes, or the end of the stream, to be read.
+
+    A closed socket has none.
+    """
+    if sock.fileno() < 0:
+        return False
     poller = select.poll()
     poller.register(sock.fileno(), select.POLLIN)
     return bool(poller.poll(0))
--- a/packages/core/eelgrassdale/http1/tests/test_server.py
+++ b/packages/core/eelgrassdale/http1/tests/test_server.py
@@ -1,6 +1,7 @@
 """Tests of the server against raw sockets."""
 
 import asyncio
+import contextlib
 import socket
 import time
 
@@ -232,6 +233,82 @@
     assert idle_answer == b""
 
 
+@pytest.mark.parametrize("is_kept", [False, True])
+@pytest.mark.parametrize("turns", range(8))
+def test_request_that_is_handled_during_a_graceful_stop_is_answered(is_kept, turns):
+    """Guards against requests that are passed on by a process that ends.
+
+    A request of a connection that was being opened, or that arrived in the last turn
+    of the event loop before the end, was handled and got no byte of an answer.
+    """
+    handled = []
+
+    async def respond(exchange):
+        handled.append(exchange)
+        await asyncio.sleep(0.05)
+        await exchange.respond(200, (), b"hello")
+
+    async def run():
+        server = HttpServer(handler=respond)
+        address = await server.start("127.0.0.1", 0)
+        with socket.create_connection(address) as sock:
+            if is_kept:
+                await asyncio.sleep(0.05)
+            sock.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            await stop_gracefully(server)
+            sock.settimeout(TEST_TIMEOUT_SECONDS)
+            return await asyncio.to_thread(receive_all, sock)
+
+    answer = asyncio.run(run())
+    assert not handled or answer.startswith(b"HTTP/1.1 200")
+    assert not handled or answer.endswith(b"hello")
+
+
+def receive_all(sock):
+    """Return what a socket receives until its connection ends."""
+    data = b""
+    with contextlib.suppress(ConnectionError):
+        while part := sock.recv(65_536):
+            data += part
+    return data
+
+
+def test_request_that_is_read_as_the_process_ends_is_refused_and_not_handled():
+    """Guards against a request that is passed on and cut off by the exit."""
+
+    async def client(reader, writer, server):
+        writer.write(b"GET / HTTP/1.1\r\n")
+        await asyncio.sleep(0.05)
+        server.start_draining()
+        server.takes_requests = False
+        writer.write(b"Host: a\r\n\r\n")
+        return await reader.read()
+
+    assert serve(echo, client).startswith(b"HTTP/1.1 503")
+
+
+def test_request_of_a_connection_that_was_closed_is_not_handled():
+    """Guards against work for a caller that cannot get its result."""
+    handled = []
+
+    async def respond(exchange):
+        handled.append(exchange)
+
+    async def client(_reader, writer, server):
+        await asyncio.sleep(0.05)
+        (conn,) = server._connections
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        while not conn._protocol.unread:
+            await asyncio.sleep(0)
+        conn._writer.close()
+        await asyncio.sleep(0.05)
+
+    serve(respond, client)
+    assert handled == []
+
+
 def test_idle_connection_is_closed_after_the_idle_timeout():
     async def client(reader, _writer, _server):
         return await reader.read()
@@ -355,6 +432,11 @@
     async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
         while server.busy_connections:
             await asyncio.sleep(0.05)
+            server.close_unused()
+    server.takes_requests = False
+    # As many turns as the tasks of a program may take to end.
+    for _ in range(10):
+        await asyncio.sleep(0)
     server.abort_all()
 
 
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -464,6 +464,9 @@
         await self.server.stop_listening_gracefully()
         while self.server.busy_connections and loop.time() < exit_at:
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+            self.server.close_unused()
+        # The process ends now, and would cut off what it passed on.
+        self.server.takes_requests = False
         if self.duties is not None:
             self.duties.send_final_counts()
         log.info("stopped", handling=self.server.active_requests)
