Do not cut whole responses by the time limit of attempts

The time limit of the attempts also covered the sending, which the server of callers limits by itself. A stop waited for slow readers no longer than for requests.

Ruled out: the close of the connection. Two lines `request ended` of one request, OK and DEADLINE_EXCEEDED, show the time limit.

Change: the limit is lifted once a response that is not streamed is known whole. A stop waits for such responses until 0.6 s before the end of the grace; requests still end 1.3 s before it.

--- a/packages/gateway/eelgrassdale_gateway/calls.py
+++ b/packages/gateway/eelgrassdale_gateway/calls.py
@@ -32,7 +32,8 @@
     held whole. `attempt` describes the response to the newest attempt, or to the one
     before if that one ended without relaying an event. `next_place` is a place that was
     found for the next one, `continuations` are attempts that continue the stream of an
-    earlier one. `retry_at` is when a refused caller may come back, if that is known,
+    earlier one. `time_limit` is that of the attempts, None once it is lifted.
+    `retry_at` is when a refused caller may come back, if that is known,
     `retry_seconds` after how long it should where capacity is short.
     """
 
@@ -50,6 +51,7 @@
     tried_servers: frozenset[str] = frozenset()
     next_place: Place | None = None
     continuations: "list[asyncio.Task[Outcome]]" = field(factory=list)
+    time_limit: asyncio.Timeout | None = None
     retry_at: float | None = None
     retry_seconds: float | None = None
 
@@ -58,6 +60,12 @@
         """Whether the request may run more than once."""
         return self.admitted.route.is_idempotent
 
+    def lift_time_limit(self) -> None:
+        """Let the rest of a response that is known whole be sent without time limit."""
+        limit, self.time_limit = self.time_limit, None
+        if limit is not None and not limit.expired():
+            limit.reschedule(None)
+
     def take_next_place(self) -> Place | None:
         """Return the place that was found for the next attempt, once."""
         place, self.next_place = self.next_place, None
--- a/packages/gateway/eelgrassdale_gateway/forwarding.py
+++ b/packages/gateway/eelgrassdale_gateway/forwarding.py
@@ -80,15 +80,17 @@
         self._header_names = header_names
         self._rng = Random(seed)
         self._stop_schedule: StopSchedule | None = None
-        self._time_limits: set[asyncio.Timeout] = set()
+        # Calls whose attempts have a time limit.
+        self._limited_calls: set[Call] = set()
 
     def start_stopping(self, schedule: StopSchedule) -> None:
         """Take requests as the schedule says, and end the present ones with it."""
         self._stop_schedule = schedule
         remaining_seconds = schedule.ends_at - self._clock.monotonic()
         ends_at = asyncio.get_running_loop().time() + remaining_seconds
-        for limit in self._time_limits:
-            if not limit.expired():
+        for call in self._limited_calls:
+            limit = call.time_limit
+            if limit is not None and not limit.expired():
                 limit.reschedule(min(ends_at, limit.when()))
 
     async def handle(self, exchange: Exchange) -> None:
@@ -137,11 +139,12 @@
         if self._stop_schedule is not None:
             ends_at = min(ends_at, self._stop_schedule.ends_at)
         async with asyncio.timeout(ends_at - self._clock.monotonic()) as limit:
-            self._time_limits.add(limit)
+            call.time_limit = limit
+            self._limited_calls.add(call)
             try:
                 await self._run_attempts(call)
             finally:
-                self._time_limits.discard(limit)
+                self._limited_calls.discard(call)
 
     async def _run_attempts(self, call: Call) -> None:
         response: Answered | None = None
@@ -325,6 +328,8 @@
             call.exchange.abort()
             return
         self._record_end(call, ResultCode.OK, status=status)
+        # Only its reader may be slow now, for whom the server has a limit of its own.
+        call.lift_time_limit()
         await call.exchange.respond(
             status, response_headers(response.head), response.body
         )
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -72,10 +72,11 @@
 # Shortest time of serving during shutdown: callers with an older list of gateways
 # still connect for a while.
 MIN_DRAIN_SECONDS = 2.0
-# Reserve at the end of the time that the platform gives a process to stop.
-EXIT_MARGIN_SECONDS = 1.2
-# Time for the last responses to be sent.
-RESPONSE_MARGIN_SECONDS = 0.1
+# Margins before the end of the time that the platform gives a process to stop: requests
+# end at the first.
+REQUEST_MARGIN_SECONDS = 1.3
+# Responses to slow readers are sent until the second, the rest is for the exit itself.
+EXIT_MARGIN_SECONDS = 0.6
 DRAIN_POLL_SECONDS = 0.05
 # Parts of the limits of callers that other servers of the process cannot take.
 CALLERS_PART = 0.4
@@ -447,16 +448,15 @@
         self.is_stopping = True
         self.server.start_draining()
         self.peers.leave()
-        seconds = self.cfg.stop_seconds - EXIT_MARGIN_SECONDS
-        exit_at = stop_started_at + seconds
+        request_seconds = max(0.0, self.cfg.stop_seconds - REQUEST_MARGIN_SECONDS)
+        requests_end_at = stop_started_at + request_seconds
+        exit_at = stop_started_at + self.cfg.stop_seconds - EXIT_MARGIN_SECONDS
         now = self._clock.monotonic()
         self.forwarder.start_stopping(
-            StopSchedule(
-                started_at=now, ends_at=now + seconds - RESPONSE_MARGIN_SECONDS
-            )
+            StopSchedule(started_at=now, ends_at=now + request_seconds)
         )
         log.info("stopping", handling=self.server.active_requests)
-        while loop.time() < exit_at:
+        while loop.time() < requests_end_at:
             elapsed_seconds = loop.time() - stop_started_at
             if elapsed_seconds > MIN_DRAIN_SECONDS and not self.server.active_requests:
                 break
