Drop old records of requests as new ones are made

Change: one collection, RecentEvents, drops events older than its window as further ones are added, those of other servers too. Loads, estimates and the sends to cold servers use it.

--- a/packages/gateway/eelgrassdale_gateway/eligibility.py
+++ b/packages/gateway/eelgrassdale_gateway/eligibility.py
@@ -5,7 +5,6 @@
 while, or its rate is limited by itself, while it is cold or just became available.
 """
 
-from collections import defaultdict, deque
 from collections.abc import Callable, Mapping
 
 from attrs import frozen
@@ -25,6 +24,7 @@
 from eelgrassdale_gateway.notices import NoticeRegistry
 from eelgrassdale_gateway.placement import EXTRA_ENGINE_REQUESTS, Candidate
 from eelgrassdale_gateway.queueing import Waiter
+from eelgrassdale_gateway.recentevents import RecentEvents
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.shares import GatewayGroup, share_of_count, share_of_rate
 
@@ -74,7 +74,7 @@
         self._gateway_group = gateway_group
         self._rate_limiter = RateLimiter(gateway_group=gateway_group)
         self._availability = AvailabilityTracker()
-        self._cold_send_times: dict[str, deque[float]] = defaultdict(deque)
+        self._cold_sends = RecentEvents[None](window_seconds=COLD_WINDOW_SECONDS)
         # Servers that leave are left out.
         self._servers_by_service: dict[str, list[BackendServer]] = {}
         self.update()
@@ -86,8 +86,7 @@
         self._availability.retain(servers.keys())
         self.loads.retain(servers.keys())
         self.notices.retain({server.address for server in servers.values()}, now=now)
-        for server_id in self._cold_send_times.keys() - servers.keys():
-            del self._cold_send_times[server_id]
+        self._cold_sends.retain(servers.keys())
         incarnations = {server.incarnation for server in servers.values()}
         self.advisories.retain(incarnations, now=now)
         self._rate_limiter.retain(incarnations)
@@ -149,7 +148,7 @@
         """Count a request against the limits of its backend server."""
         self._rate_limiter.record_send(server.incarnation, now=now)
         if now < server.cold_until:
-            self._cold_send_times[server.id].append(now)
+            self._cold_sends.add(server.id, None, now=now)
 
     def loaded_version(self, server: BackendServer, model: str, now: float) -> int:
         """Return the loaded version; it may be out of date, but never too high."""
@@ -271,10 +270,8 @@
         """Return whether this gateway may send a cold server one more request now."""
         if now >= server.cold_until or not service.cold_requests_per_second:
             return True
-        sends = self._cold_send_times[server.id]
-        while sends and now - sends[0] > COLD_WINDOW_SECONDS:
-            sends.popleft()
-        return len(sends) + 1 <= share_of_rate(
+        send_count = self._cold_sends.count(server.id, now=now)
+        return send_count + 1 <= share_of_rate(
             service.cold_requests_per_second,
             resource=server.id,
             gateway_group=self._gateway_group(),
--- a/packages/gateway/eelgrassdale_gateway/estimates.py
+++ b/packages/gateway/eelgrassdale_gateway/estimates.py
@@ -6,10 +6,12 @@
 """
 
 import math
-from collections import defaultdict, deque
+from collections import defaultdict
 
 from attrs import define, field, frozen
 
+from eelgrassdale_gateway.recentevents import RecentEvents
+
 # Time in which the weight of an observation falls to 1/e. Shorter times leave too few
 # requests in the average of a gateway that gets five a second.
 AVERAGE_SECONDS = 1.0
@@ -120,7 +122,9 @@
     first_event_excess: float = 0.0
     short_at: float = float("-inf")
     _foreign: dict[int, ForeignSlots] = field(factory=dict)
-    _own_ends: dict[str, deque[float]] = field(factory=dict)
+    _own_ends: RecentEvents[None] = field(
+        factory=lambda: RecentEvents(window_seconds=OWN_SLOT_SECONDS)
+    )
 
     def is_short(self, now: float) -> bool:
         """Return whether capacity was short a moment ago."""
@@ -145,19 +149,11 @@
             self.duration_seconds += DURATION_WEIGHT * change
         else:
             self.duration_seconds = seconds
-        self._own_ends.setdefault(server, deque()).append(now)
+        self._own_ends.add(server, None, now=now)
 
     def own_free_slots(self, server: str, *, now: float) -> int:
         """Return how many slots of a server this gateway's own requests just left."""
-        ends = self._own_ends.get(server)
-        if ends is None:
-            return 0
-        while ends and now - ends[0] > OWN_SLOT_SECONDS:
-            ends.popleft()
-        if not ends:
-            del self._own_ends[server]
-            return 0
-        return len(ends)
+        return self._own_ends.count(server, now=now)
 
     def foreign_slots(self, priority: int) -> ForeignSlots:
         """Return the slots left by others that requests of a priority may take."""
@@ -165,7 +161,7 @@
 
     def take_own_slot(self, server: str) -> None:
         """Count a slot that this gateway's own request left as taken."""
-        self._own_ends[server].popleft()
+        self._own_ends.take_oldest(server)
 
     def shortage(self, *, slots: int, gateways: int, now: float) -> Shortage:
         """Return the state of a service whose servers have `slots` together."""
--- a/packages/gateway/eelgrassdale_gateway/loads.py
+++ b/packages/gateway/eelgrassdale_gateway/loads.py
@@ -1,10 +1,11 @@
 """Load of backend servers, from this gateway's requests and its peers' reports."""
 
-from collections import deque
 from collections.abc import Collection, Mapping
 
 from attrs import define, field, frozen
 
+from eelgrassdale_gateway.recentevents import RecentEvents
+
 # Older reports of a peer are ignored: the peer is silent or gone, and the requests
 # that it sent will end soon.
 REPORT_TTL_SECONDS = 1.5
@@ -95,13 +96,15 @@
     # In the order in which they were received.
     _reports: dict[str, _Report] = field(factory=dict)
     _reported_totals: dict[str, _Total] = field(factory=dict)
-    _recent_sends: dict[str, deque[tuple[float, Load]]] = field(factory=dict)
+    _recent_sends: RecentEvents[Load] = field(
+        factory=lambda: RecentEvents(window_seconds=REPORT_DELAY_SECONDS)
+    )
 
     def record_send(self, server: str, *, tokens: int, now: float) -> InFlightRequest:
         """Add a request that is about to be sent."""
         load = Load(requests=1, tokens=tokens)
         self._add_own_load(server, load)
-        self._recent_sends.setdefault(server, deque()).append((now, load))
+        self._recent_sends.add(server, load, now=now)
         return InFlightRequest(server=server, tokens=tokens, sent_at=now)
 
     def record_response_start(self, in_flight: InFlightRequest) -> None:
@@ -179,15 +182,14 @@
 
     def unseen_load(self, server: str, *, now: float, peer_count: int) -> Load:
         """Return an estimate of what peers sent to a server since their reports."""
-        recent_load = self._recent_load(server, now)
-        if recent_load is NO_LOAD:
+        if server not in self._recent_sends:
             return NO_LOAD
+        recent_load = sum(self._recent_sends.values(server, now=now), NO_LOAD)
         return recent_load.scaled(PEER_SEND_SHARE * peer_count)
 
     def retain(self, known_servers: Collection[str]) -> None:
         """Drop the recent sends to all backend servers but the known ones."""
-        for server in self._recent_sends.keys() - known_servers:
-            del self._recent_sends[server]
+        self._recent_sends.retain(known_servers)
 
     def _remove_expired_reports(self, now: float) -> None:
         while self._reports:
@@ -196,17 +198,6 @@
                 return
             self.remove_peer(peer)
 
-    def _recent_load(self, server: str, now: float) -> Load:
-        recent = self._recent_sends.get(server)
-        if recent is None:
-            return NO_LOAD
-        while recent and now - recent[0][0] > REPORT_DELAY_SECONDS:
-            recent.popleft()
-        if not recent:
-            del self._recent_sends[server]
-            return NO_LOAD
-        return sum((load for _, load in recent), NO_LOAD)
-
     def _add_own_load(self, server: str, change: Load) -> None:
         load = self._own_loads.get(server, NO_LOAD) + change
         if load.requests <= 0:
