Forget services that are no longer configured

Change: with each configuration, queues without requests, averages and series of metrics of removed services are dropped. A retry budget is kept for two windows after its last use, so that a service that comes and goes gets no further retries.

--- a/packages/gateway/eelgrassdale_gateway/dispatcher.py
+++ b/packages/gateway/eelgrassdale_gateway/dispatcher.py
@@ -241,6 +241,17 @@
     def _on_routing_state_change(self) -> None:
         self.eligible.update()
         self.dispatch_waiting()
+        self._forget_removed_services()
+
+    def _forget_removed_services(self) -> None:
+        """Drop what is known of services that are not configured and not waited for."""
+        table = self._routing_state.table
+        configured = table.services.keys() if table else ()
+        for name in self._queues.keys() - configured:
+            if not self._queues[name]:
+                del self._queues[name]
+        for name in self._demands.keys() - configured - self._queues.keys():
+            del self._demands[name]
 
     def _withdraw(self, queued: _QueuedRequest) -> None:
         queue = self._queues[queued.waiter.service]
@@ -252,7 +263,7 @@
             self.record_end(fut.result()[1])
 
     def _dispatch_queue(self, name: str) -> None:
-        queue = self._queues[name]
+        queue = self._queues.get(name)
         if not queue:
             return
         now = self._clock.monotonic()
--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -36,7 +36,7 @@
 from eelgrassdale_gateway.messages import DutyNotice
 from eelgrassdale_gateway.mirror import Mirror
 from eelgrassdale_gateway.mirrorset import MirrorSet
-from eelgrassdale_gateway.model import BackendServer
+from eelgrassdale_gateway.model import BackendServer, RouteTable
 from eelgrassdale_gateway.objecthttp import ObjectServer
 from eelgrassdale_gateway.objects import ObjectSource
 from eelgrassdale_gateway.peers import Peers
@@ -124,6 +124,7 @@
             data_centre=cfg.data_centre, read_own=self._autoscaled_waiting
         )
         self._scaling: ScalingRunner | None = None
+        self._scaling_metrics: ScalingMetrics | None = None
         self.peers = Peers(
             clock=self._clock,
             me=NodeInfo(
@@ -210,6 +211,9 @@
             routing_state=self.routing_state,
             make_origin=make_origin,
         )
+        # The configuration whose services were retained last.
+        self._retained_table: RouteTable | None = None
+        self.routing_state.subscribe(self._forget_removed_services)
         self._mirror_set: MirrorSet | None = None
         self._archive: QuarantineArchive | None = None
         self.duties: Duties | None = None
@@ -302,12 +306,13 @@
                 self._mirror_set.longest_silence_seconds() if self._mirror_set else 0.0
             ),
         )
+        self._scaling_metrics = ScalingMetrics(self.telemetry.registry)
         self._scaling = ScalingRunner(
             clock=self._clock,
             read_fleet=fleet.read,
             current_permit=current_permit,
             order_servers=order_servers,
-            metrics=ScalingMetrics(self.telemetry.registry),
+            metrics=self._scaling_metrics,
         )
 
     def take_duties(
@@ -547,6 +552,17 @@
         else:
             await self._objects.handle(exchange)
 
+    def _forget_removed_services(self) -> None:
+        """Drop what is kept of services that are no longer configured."""
+        table = self.routing_state.table
+        if table is None or table is self._retained_table:
+            return
+        self._retained_table = table
+        self._retry_budgets.retain(table.services.keys())
+        self.telemetry.retain_services(table.services.keys())
+        if self._scaling_metrics is not None:
+            self._scaling_metrics.retain_services(table.services.keys())
+
     def _recheck_servers(self) -> None:
         self._set_servers(self.servers.current(now=self._clock.monotonic()))
 
--- a/packages/gateway/eelgrassdale_gateway/retrybudgets.py
+++ b/packages/gateway/eelgrassdale_gateway/retrybudgets.py
@@ -1,6 +1,6 @@
 """Retry budgets of one gateway: its share of the retries that all may send."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from attrs import define, field
 
@@ -16,6 +16,9 @@
 
 # Retries that a new process may send at once.
 INITIAL_RETRIES = 1.0
+# Windows after which an unused budget of a removed service is dropped. If the service
+# comes back, its budget is that of a new one.
+UNUSED_WINDOWS = 2.0
 
 
 @define(kw_only=True)
@@ -47,6 +50,7 @@
     _budgets: dict[str, RetryBudget] = field(factory=dict, init=False)
     # Slack that each service was given so far.
     _given: dict[str, float] = field(factory=dict, init=False)
+    _used_at: dict[str, float] = field(factory=dict, init=False)
     _started_at: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -66,11 +70,20 @@
         budget = self._budget(service)
         budget.tokens = min(budget.limit, budget.tokens + 1)
 
+    def retain(self, services: Collection[str]) -> None:
+        """Drop the budgets of all other services that were not used lately."""
+        oldest_use = self._clock.monotonic() - UNUSED_WINDOWS * self.window_seconds
+        for service in self._budgets.keys() - services:
+            if self._used_at[service] < oldest_use:
+                for values in (self._budgets, self._given, self._used_at):
+                    del values[service]
+
     def _budget(self, service: str) -> RetryBudget:
         limit = max(
             INITIAL_RETRIES, SLACK_FRACTION * self.slack / self.gateway_group().count
         )
         budget = self._budgets.setdefault(service, RetryBudget(tokens=0.0))
+        self._used_at[service] = self._clock.monotonic()
         # These follow the settings, which may change, and the number of gateways.
         budget.limit = limit
         budget.share = RATIO_FRACTION * self.ratio
--- a/packages/gateway/eelgrassdale_gateway/telemetry.py
+++ b/packages/gateway/eelgrassdale_gateway/telemetry.py
@@ -4,7 +4,7 @@
 the reason. The events are listed in docs/OPERATIONS.md.
 """
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 import structlog
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
@@ -18,6 +18,7 @@
 from eelgrassdale_gateway.calls import AttemptProgress, Call
 from eelgrassdale_gateway.model import BackendServer
 from eelgrassdale_gateway.outcomes import Answered, Outcome
+from eelgrassdale_gateway.servicemetrics import ServiceMetrics
 
 SECONDS_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 2.0, 4.0, 8.0)
 
@@ -35,6 +36,10 @@
         self._read_services = read_services
         self._seen: set[str] = set()
 
+    def retain(self, services: Collection[str]) -> None:
+        """Forget that other services were flagged."""
+        self._seen.intersection_update(services)
+
     def collect(self) -> Iterator[GaugeMetricFamily]:
         """Yield the gauge; services that were flagged before are 0."""
         flagged = set(self._read_services())
@@ -91,6 +96,15 @@
             registry=self._registry,
         )
         self._gauges: dict[str, Gauge] = {}
+        self._service_flags: list[_ServiceFlags] = []
+        self._service_metrics = ServiceMetrics(
+            self._request_counter,
+            self._attempt_counter,
+            self._waiting_histogram,
+            self._first_response_histogram,
+            self._refusal_counter,
+            self._late_start_counter,
+        )
 
     @property
     def registry(self) -> CollectorRegistry:
@@ -107,9 +121,19 @@
         self, name: str, description: str, read_services: Callable[[], Iterable[str]]
     ) -> None:
         """Add a gauge that is 1 for the services that `read_services` returns."""
-        self._registry.register(
-            _ServiceFlags(f"eelgrassdale_{name}", description, read_services)
-        )
+        flags = _ServiceFlags(f"eelgrassdale_{name}", description, read_services)
+        self._service_flags.append(flags)
+        self._registry.register(flags)
+
+    def retain_services(self, services: Collection[str]) -> None:
+        """Remove the series of services that are no longer configured.
+
+        Those of requests without a service stay.
+        """
+        kept = {"", *services}
+        self._service_metrics.retain(kept)
+        for flags in self._service_flags:
+            flags.retain(kept)
 
     def exposition(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
@@ -126,6 +150,7 @@
         table_version: int,
     ) -> None:
         """Log the placement of a request and observe its waiting time."""
+        self._service_metrics.note(admitted.service)
         self._waiting_histogram.labels(admitted.service).observe(waited_seconds)
         if self.on_placement is not None:
             self.on_placement(admitted.service, is_late)
@@ -147,12 +172,14 @@
 
     def record_refusal(self, *, admitted: AdmittedRequest, code: ResultCode) -> None:
         """Count a request that got no place at a backend server."""
+        self._service_metrics.note(admitted.service)
         self._refusal_counter.labels(
             code.name, str(admitted.priority), admitted.service
         ).inc()
 
     def record_response_start(self, *, service: str, seconds: float) -> None:
         """Observe the seconds from arrival to the head of the response."""
+        self._service_metrics.note(service)
         self._first_response_histogram.labels(service).observe(seconds)
 
     def record_attempt_end(
@@ -165,6 +192,7 @@
         is_failure: bool,
     ) -> None:
         """Count an attempt by outcome, and log it if it failed."""
+        self._service_metrics.note(call.admitted.service)
         name = type(outcome).__name__
         self._attempt_counter.labels(name, call.admitted.service).inc()
         if not is_failure:
@@ -229,6 +257,7 @@
         self, *, request_id: str, service: str, code: ResultCode, **fields: object
     ) -> None:
         """Count a finished request by result code, and log it."""
+        self._service_metrics.note(service)
         self._request_counter.labels(code.name, service).inc()
         log.info(
             "request ended",
--- a/packages/gateway/eelgrassdale_gateway/tests/test_retrybudgets.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_retrybudgets.py
@@ -105,3 +105,23 @@
     budgets.add_request("s")
     count = 9
     assert sum(budgets.take("s") for _ in range(100)) <= SLACK / 9
+
+
+def test_budget_of_a_removed_service_is_kept_for_the_windows_in_which_it_counts():
+    """Guards against retries beyond the limit where a service comes and goes.
+
+    Later the budget is dropped, so that those of all services ever named are not kept.
+    """
+    clock = ManualClock()
+    budgets = make_budgets(count=1, clock=clock, window_seconds=10.0)
+    clock.advance(seconds=10.0)
+    taken = sum(budgets.take("s") for _ in range(200))
+    budgets.retain(())
+    assert sum(budgets.take("s") for _ in range(200)) == 0
+    clock.advance(seconds=21.0)
+    budgets.retain({"s"})
+    assert not budgets.take("s")
+    clock.advance(seconds=21.0)
+    budgets.retain(())
+    assert budgets._budgets == budgets._given == budgets._used_at == {}
+    assert sum(budgets.take("s") for _ in range(200)) == taken
