Keep targets and weights only of models that are named

A gateway kept each target version of each model that was ever named, and the chunks of two versions of it, some 2 MB each; an agent did too.

Change: targets that a later mandatory one makes useless are dropped, as are those of models without an entry beyond the last 256. Chunks are kept of models that the configuration or an entry names. Targets of a model that is gone stay for a while, as a restored store may lack it for a moment and no older version may serve then.

Measured: test_routingstate.py compares required versions and latest starts with those of all targets on random lists.

--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -409,10 +409,18 @@
                 staleness_seconds, self._pauses.stale_event_seconds()
             ),
         )
+        self._weights.retain_models(versions.keys() | self._configured_models())
         for model, version in versions.items():
             if not is_first_list and version > previous_versions.get(model, 0):
                 self._weights.prefetch(model, version)
 
+    def _configured_models(self) -> set[str]:
+        table = self.routing_state.table
+        services = table.services.values() if table else ()
+        return {
+            name for s in services if s.engine is not None for name in s.engine.models
+        }
+
     def record_store_recovery(self, outage: float) -> None:
         """Record the end of an outage of the platform's store; `outage` in seconds."""
         self.servers.record_store_recovery(outage, now=self._clock.monotonic())
--- a/packages/gateway/eelgrassdale_gateway/routingstate.py
+++ b/packages/gateway/eelgrassdale_gateway/routingstate.py
@@ -11,6 +11,10 @@
 
 from eelgrassdale_gateway.model import BackendServer, Incarnation, RouteTable
 
+# Models without a target in the present list whose targets are kept. They may come back
+# with a restored store, and must not get an older version then.
+MAX_UNLISTED_MODELS = 256
+
 log = structlog.get_logger(__name__)
 
 
@@ -148,8 +152,24 @@
                 continue
             targets.append(TargetVersion(version=version, mandatory_at=now + grace))
             log.info("target version set", model=model, version=version, grace=grace)
+        self._forget_old_targets(versions, now)
         self._notify()
 
+    def _forget_old_targets(self, listed: Mapping[str, int], now: float) -> None:
+        """Drop the targets that decide nothing any more, and the oldest models."""
+        for model, targets in self._targets.items():
+            passed = [
+                index
+                for index, target in enumerate(targets)
+                if target.mandatory_at + self.queue_seconds <= now
+            ]
+            if passed:
+                # From it on, the earlier ones decide nothing.
+                self._targets[model] = targets[passed[-1] :]
+        unlisted = [model for model in self._targets if model not in listed]
+        for model in unlisted[: max(0, len(unlisted) - MAX_UNLISTED_MODELS)]:
+            del self._targets[model]
+
     def target_versions(self) -> dict[str, int]:
         """Return the newest target version of each model."""
         return {model: targets[-1].version for model, targets in self._targets.items()}
--- a/packages/gateway/eelgrassdale_gateway/staging/distribution.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/distribution.py
@@ -55,6 +55,12 @@
             self._relay.prefetch(model, version)
         )
 
+    def retain_models(self, models: Collection[str]) -> None:
+        """Drop what is kept of all other models, and fetch no more of them."""
+        self._relay.retain_models(models)
+        for model in self._prefetching.keys() - models:
+            self._prefetching.pop(model).cancel()
+
     def _origin_info(self) -> OriginInfo | None:
         """Return the origin of weights in the configuration, or None."""
         table = self._routing_state.table
--- a/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/reconciler.py
@@ -112,8 +112,13 @@
         self._changed = asyncio.Event()
 
     def set_target_versions(self, versions: Mapping[str, int]) -> None:
-        """Set the target version of each model; lower versions are ignored."""
+        """Set the target version of each model; lower versions are ignored.
+
+        What is held of other models is dropped.
+        """
         now = self._clock.monotonic()
+        for name in self._models.keys() - versions.keys():
+            del self._models[name]
         for name, version in versions.items():
             model = self._models.setdefault(name, HeldVersions())
             if model.add_target(version, now=now, grace=self._cfg.version_grace):
--- a/packages/gateway/eelgrassdale_gateway/staging/relay.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/relay.py
@@ -155,6 +155,12 @@
         # A reader that is cancelled must not cancel the read for the others.
         return await asyncio.shield(read)
 
+    def retain_models(self, models: Collection[str]) -> None:
+        """Drop the cached chunks of all other models."""
+        for key in list(self._versions):
+            if key[0] not in models:
+                del self._versions[key]
+
     async def prefetch(self, model: str, version: int) -> None:
         """Fetch the chunks that agents of this data centre will ask this gateway for.
 
--- a/packages/gateway/eelgrassdale_gateway/staging/tests/test_reconciler.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/tests/test_reconciler.py
@@ -424,3 +424,18 @@
 
     assert run_scenario(scenario)
     assert pauses
+
+
+def test_weights_of_a_model_that_is_gone_are_dropped():
+    """Guards against weights of each model that was ever named, 2 MB each."""
+
+    async def scenario(cluster):
+        cluster.set_target_version(2)
+        await cluster.wait_for(2)
+        relay, reconciler = cluster._relays[0], cluster.reconcilers["a-1"]
+        held = len(relay._versions), len(reconciler._models)
+        relay.retain_models({"other"})
+        reconciler.set_target_versions({"other": 1})
+        return held, (len(relay._versions), list(reconciler._models))
+
+    assert run_scenario(scenario) == ((1, 1), (0, ["other"]))
--- a/packages/gateway/eelgrassdale_gateway/tests/test_routingstate.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_routingstate.py
@@ -1,7 +1,11 @@
 """Tests of a gateway's routing state and of its list of backend servers."""
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from eelgrassdale.clock import ManualClock
 from eelgrassdale.pauses import PauseDetector
+from eelgrassdale_gateway import routingstate
 from eelgrassdale_gateway.model import BackendServer, RouteTable
 from eelgrassdale_gateway.routingstate import RoutingState
 from eelgrassdale_gateway.serverlist import ServerList
@@ -103,3 +107,38 @@
     servers.update({"a": server("a")}, now=0.0)
     servers.record_store_recovery(4.0, now=10.0)
     assert set(servers.update({"b": server("b")}, now=10.0)) == {"b"}
+
+
+@given(
+    st.lists(
+        st.tuples(st.integers(1, 9), st.floats(0.0, 4.0), st.floats(0.0, 6.0)),
+        max_size=12,
+    )
+)
+def test_targets_that_are_dropped_decide_nothing(steps):
+    """Guards against an older version that may serve again as targets are dropped."""
+    state = RoutingState(version_grace_seconds=5.0, start_grace=1.0)
+    now, targets = 0.0, []
+    for version, seconds, staleness in steps:
+        now += seconds
+        state.set_target_versions({"m": version}, now, staleness_seconds=staleness)
+        if not targets or version > targets[-1].version:
+            targets.append(state._targets["m"][-1])
+        for later in (0.0, 0.4, 0.6, 3.0, 9.0):
+            at = now + later
+            mandatory = [t.version for t in targets if t.mandatory_at <= at]
+            assert state.required_version("m", at) == (mandatory or [0])[-1]
+            for loaded in range(10):
+                ends = [t.mandatory_at + 0.5 for t in targets if t.version > loaded]
+                may_start = at < min(ends, default=float("inf"))
+                assert (at < state.latest_start("m", loaded)) == may_start
+
+
+def test_targets_of_all_models_ever_named_are_not_kept(monkeypatch):
+    monkeypatch.setattr(routingstate, "MAX_UNLISTED_MODELS", 3)
+    state = RoutingState(version_grace_seconds=5.0, start_grace=1.0)
+    for number in range(50):
+        versions = {"m": number, f"m-{number}": 1}
+        state.set_target_versions(versions, now=10.0 * number)
+    assert list(state._targets) == ["m", "m-46", "m-47", "m-48", "m-49"]
+    assert [t.version for t in state._targets["m"]] == [48, 49]
