Bound the encoded pages for followers in bytes

A gateway cached 16 encoded answers, whatever their size: 16 copies of a large configuration, most of them of positions that no follower asks for again.

Change: pages of earlier positions of a kind are dropped, and the rest has 2 MB, or one page if that alone is larger.

Measured: test_objecthttp.py, 42 pages of some 13 kB under a limit of 30 kB: 30 kB at most, and only the newest position is kept.

--- a/packages/gateway/eelgrassdale_gateway/objecthttp.py
+++ b/packages/gateway/eelgrassdale_gateway/objecthttp.py
@@ -45,6 +45,8 @@
 from eelgrassdale_gateway.staging.relay import GatewayEndpoint
 
 Address = tuple[str, int]
+# Kind, revision of the follower, position of the copy and outage in milliseconds.
+_PageKey = tuple[str, int | None, Position, int]
 
 OBJECTS_PATH = "/objects/"
 GATEWAYS_PATH = "/gateways"
@@ -58,8 +60,10 @@
 COMPRESSION_LEVEL = 1
 # Names the era of the store of which a copy is; absent in era 0.
 ERA_HEADER = "copy-era"
-# Encoded answers cached for other followers; the oldest is evicted first.
+# Encoded answers cached for other followers; the oldest is evicted first. The newest is
+# cached whatever its size, as all followers ask for it at the same time.
 MAX_CACHED_PAGES = 16
+MAX_CACHED_BYTES = 2_097_152
 
 
 @frozen(kw_only=True)
@@ -145,7 +149,7 @@
         self._reads_from_store = reads_from_store
         self._gateways = gateways
         self._clock = clock
-        self._page_cache: dict[tuple[str, int | None, Position, int], bytes] = {}
+        self._page_cache: dict[_PageKey, bytes] = {}
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
@@ -210,11 +214,21 @@
         page = self._page_cache.get(key)
         if page is None:
             page = _encode_page(log, changes, outage_ms)
-            while len(self._page_cache) >= MAX_CACHED_PAGES:
-                del self._page_cache[next(iter(self._page_cache))]
-            self._page_cache[key] = page
+            self._cache_page(key, page)
         return page
 
+    def _cache_page(self, key: _PageKey, page: bytes) -> None:
+        """Cache a page in place of older ones, and of those of earlier positions."""
+        kind, _, position, _ = key
+        pages = self._page_cache
+        for other in [k for k in pages if k[0] == kind and k[2] != position]:
+            del pages[other]
+        pages[key] = page
+        while len(pages) > MAX_CACHED_PAGES or (
+            len(pages) > 1 and sum(map(len, pages.values())) > MAX_CACHED_BYTES
+        ):
+            del pages[next(iter(pages))]
+
 
 class ObjectClient:
     """Reads objects from gateways; methods raise `StoreUnavailable`."""
--- a/packages/gateway/eelgrassdale_gateway/tests/test_objecthttp.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_objecthttp.py
@@ -1,17 +1,24 @@
 """Tests of reading objects from another gateway."""
 
 import asyncio
+import random
 import zlib
 
 import pytest
 
 from eelgrassdale.clock import ManualClock
 from eelgrassdale.http1 import HttpServer
+from eelgrassdale_gateway import objecthttp
 from eelgrassdale_gateway.changelog import ChangeLog
 from eelgrassdale_gateway.eras import Position
 from eelgrassdale_gateway.messages import ObjectPage, ObjectRecord, encode_struct
 from eelgrassdale_gateway.objecthttp import ObjectClient, ObjectQuery, ObjectServer
-from eelgrassdale_gateway.objects import HistoryGone, StoredObject, StoreUnavailable
+from eelgrassdale_gateway.objects import (
+    Change,
+    HistoryGone,
+    StoredObject,
+    StoreUnavailable,
+)
 
 
 @pytest.mark.parametrize("spec", [b"{", b"\xff", None])
@@ -68,6 +75,30 @@
     ]
 
 
+def test_encoded_pages_take_a_bounded_number_of_bytes(monkeypatch):
+    """Guards against a number of pages as the bound, where each may have megabytes."""
+    monkeypatch.setattr(objecthttp, "MAX_CACHED_BYTES", 30_000)
+    change_log = ChangeLog()
+    server = ObjectServer(
+        change_logs=lambda: {"k": change_log},
+        reads_from_store=lambda kind: True,
+        gateways=list,
+        clock=ManualClock(),
+    )
+    sizes = []
+    for revision in range(5, 12):
+        # Incompressible, so that each page has 13 kB.
+        spec = random.Random(revision).randbytes(6_000).hex()
+        item = StoredObject(name="o", revision=revision, spec=spec)
+        change_log.replace({"o": item}, Position(0, revision))
+        for since in (None, *range(5)):
+            query = ObjectQuery(kind="k", since=since)
+            server._encoded_page(query, change_log, [Change(object=item)])
+            sizes.append(sum(map(len, server._page_cache.values())))
+    assert max(sizes) <= 30_000
+    assert {key[2].revision for key in server._page_cache} == {11}
+
+
 async def fail_to_read(page, *, since=None, headers=()):
     """Read a page that is no valid one; return whether it counts as a store failure."""
 
