Forget addresses and cooldowns that are over

Cooldowns of gateways, and an empty list of connections for each address that had none, were kept for good: each restart at a new address added an entry.

Change: ended cooldowns are dropped as another one begins, and asking the pool for a connection leaves no entry.

Measured: the tests of both modules pass; no test counts these entries.

--- a/packages/core/eelgrassdale/http1/pool.py
+++ b/packages/core/eelgrassdale/http1/pool.py
@@ -61,7 +61,7 @@
         ConnectFailed
             If a new connection was needed and failed.
         """
-        idle = self._idle[address]
+        idle = self._idle.get(address)
         while idle and not fresh:
             conn = idle.pop()
             self.idle_count -= 1
--- a/packages/gateway/eelgrassdale_gateway/sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/sharedsource.py
@@ -354,4 +354,10 @@
             self._gateways_failed_at = self._clock.monotonic()
 
     def _start_cooldown(self, address: Address | None, seconds: float) -> None:
-        self._cooldown_until[address] = self._clock.monotonic() + seconds
+        now = self._clock.monotonic()
+        self._cooldown_until = {
+            source: until
+            for source, until in self._cooldown_until.items()
+            if until > now
+        }
+        self._cooldown_until[address] = now + seconds
--- a/packages/gateway/eelgrassdale_gateway/staging/fetching.py
+++ b/packages/gateway/eelgrassdale_gateway/staging/fetching.py
@@ -245,7 +245,11 @@
         # A gateway without a copy of one version may have the other chunks that this
         # agent needs, so only one that does not answer is left alone for a while.
         if not isinstance(exc, DataUnavailable):
-            self._cooldown_until[gateway.name] = (
-                self._clock.monotonic() + GATEWAY_COOLDOWN_SECONDS
-            )
+            now = self._clock.monotonic()
+            self._cooldown_until = {
+                name: until
+                for name, until in self._cooldown_until.items()
+                if until > now
+            }
+            self._cooldown_until[gateway.name] = now + GATEWAY_COOLDOWN_SECONDS
         log.info("reading a chunk failed", source=gateway.name, reason=str(exc))
