Bound the queued log lines in characters

The queue for a reader of the log that stands still was bound by 5,000 lines, said to be 2 MB.

Change: the oldest lines are dropped beyond 2 MiB of characters, too.

Measured: the new case of test_logs.py; the tests of the module pass.

--- a/packages/core/eelgrassdale/logs.py
+++ b/packages/core/eelgrassdale/logs.py
@@ -17,8 +17,9 @@
 
 LOG_FORMATS = ("json", "console")
 
-# Lines queued for a slow reader, about 2 MB.
+# Queued for a slow reader. Callers choose some of the ids in a line, which may be long.
 MAX_QUEUED_LINES = 5_000
+MAX_QUEUED_CHARACTERS = 2_097_152
 # Token bucket for each kind of event: burst size and refill rate.
 EVENT_BURST_LINES = 200.0
 EVENT_LINES_PER_SECOND = 60.0
@@ -152,12 +153,15 @@
     """Text file whose `write` never blocks.
 
     A thread writes the queued lines. When the queue is full, the oldest lines
-    are dropped, and their number is written with the next batch.
+    are dropped, and their number is written with the next batch. The newest line is
+    kept whatever its length.
     """
 
     def __init__(self, *, file: TextIO, limit: int = MAX_QUEUED_LINES) -> None:
         self._file = file
-        self._lines: deque[str] = deque(maxlen=limit)
+        self._lines: deque[str] = deque()
+        self._max_lines = limit
+        self._characters = 0
         self._lock = threading.Lock()
         self._dropped_lines = 0
         self._ready = threading.Event()
@@ -168,12 +172,20 @@
     def write(self, text: str) -> int:
         """Queue a line."""
         with self._lock:
-            if len(self._lines) == self._lines.maxlen:
-                self._dropped_lines += 1
             self._lines.append(text)
+            self._characters += len(text)
+            while len(self._lines) > 1 and self._is_full():
+                self._characters -= len(self._lines.popleft())
+                self._dropped_lines += 1
         self._ready.set()
         return len(text)
 
+    def _is_full(self) -> bool:
+        return (
+            len(self._lines) > self._max_lines
+            or self._characters > MAX_QUEUED_CHARACTERS
+        )
+
     def flush(self) -> None:
         """Do nothing, since the writer thread flushes after each batch."""
 
@@ -196,6 +208,7 @@
         with self._lock:
             text = "".join(self._lines)
             self._lines.clear()
+            self._characters = 0
             dropped_lines, self._dropped_lines = self._dropped_lines, 0
         if dropped_lines:
             text += f'{{"event": "log lines dropped", "lines": {dropped_lines}}}\n'
--- a/packages/core/eelgrassdale/tests/test_logs.py
+++ b/packages/core/eelgrassdale/tests/test_logs.py
@@ -8,6 +8,7 @@
 import pytest
 import structlog
 
+from eelgrassdale import logs
 from eelgrassdale.logs import BoundedWriter, RateLimiter
 
 
@@ -47,6 +48,27 @@
     assert file.getvalue().startswith("b\nc\n")
 
 
+def test_queued_lines_take_a_bounded_number_of_characters(monkeypatch):
+    """Guards against long lines that fill the memory while nobody reads the log.
+
+    A caller's request id of 16 kB is in each line of its request.
+    """
+    monkeypatch.setattr(logs, "MAX_QUEUED_CHARACTERS", 1000)
+    file = io.StringIO()
+    writer = BoundedWriter(file=file)
+    with writer._lock:
+        writer._lock, lock = threading.RLock(), writer._lock
+        for number in range(100):
+            writer.write(f"{number:0299d}\n")
+        queued = sum(map(len, writer._lines))
+        writer._lock = lock
+    writer.write(2000 * "x" + "\n")
+    writer.close(timeout_seconds=5)
+    assert queued == 900
+    assert '"lines": 100' in file.getvalue()
+    assert file.getvalue().startswith("x")
+
+
 def test_rate_limit_drops_frequent_events_only():
     now = [0.0]
     limit = RateLimiter(burst=3.0, rate=1.0, clock=lambda: now[0])
