Find the route of a path by its segments

Change: prefixes are kept in a tree of segments, so that a lookup takes as many steps as the longest configured prefix has segments.

--- a/packages/gateway/eelgrassdale_gateway/model.py
+++ b/packages/gateway/eelgrassdale_gateway/model.py
@@ -10,6 +10,7 @@
 from attrs import Factory, field, frozen
 
 from eelgrassdale.http1 import CallerLimits
+from eelgrassdale_gateway.prefixes import PrefixTree
 
 
 @frozen(kw_only=True)
@@ -145,18 +146,16 @@
             by_host.setdefault(route.host, {})[route.prefix] = route
         return by_host
 
+    @cached_property
+    def _prefixes_by_host(self) -> dict[str, PrefixTree[Route]]:
+        return {
+            host: PrefixTree(routes.items()) for host, routes in self._by_host.items()
+        }
+
     def route_for(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches a path, or None."""
-        prefixes = self._by_host.get(host)
-        if not prefixes:
-            return None
-        end = path.rfind("/")
-        while end >= 0:
-            route = prefixes.get(path[: end + 1])
-            if route is not None:
-                return route
-            end = path.rfind("/", 0, end)
-        return None
+        prefixes = self._prefixes_by_host.get(host)
+        return prefixes.find(path) if prefixes else None
 
     @cached_property
     def competing_services(self) -> frozenset[str]:
