Charge the entries of lists in headers to their caller

A head was charged with its bytes and 320 for each field, though each entry of a list becomes some 200 bytes of strings, a tuple and a set.

Ruled out: received bytes and connections, which are counted.

Change: each entry of a list in a header is charged with 256 bytes as long as the request lasts.

--- a/packages/core/eelgrassdale/http1/callerconnection.py
+++ b/packages/core/eelgrassdale/http1/callerconnection.py
@@ -44,6 +44,9 @@
 REFUSED_RETRY_SECONDS = 1
 # Memory of a header field beside its bytes, which a request holds as objects.
 FIELD_BYTES = 320
+# The same of an entry of a list in a header, such as the parts of a prompt, which a
+# request holds as up to two strings and in two collections.
+LIST_ENTRY_BYTES = 256
 # The rest of a response is not cut for a lack of room before this time has passed since
 # its request ended, so that an ordinary reader gets it whole.
 UNREAD_GRACE_SECONDS = 2.0
@@ -366,6 +369,7 @@
         if self._parser.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         head_bytes += FIELD_BYTES * len(headers)
+        head_bytes += LIST_ENTRY_BYTES * sum(v.count(",") for _, v in headers)
         self._charge_request(head_bytes)
         return Request(
             method=head.method.decode("latin-1"),
