Reset the connection of an attempt that is given up

Ruled out: that the gateway learns of it too late; attempts end as their callers leave.

Change: an attempt that ends before its response is whole resets its connection, and so does a failed or cancelled call of the store, a peer or an engine. Connections that are kept are not reset.

--- a/packages/core/eelgrassdale/http1/pool.py
+++ b/packages/core/eelgrassdale/http1/pool.py
@@ -75,6 +75,9 @@
     ) -> tuple[ResponseHead, bytes]:
         """Send a request; return the head and a body of at most `limit` bytes.
 
+        A call that fails or is cancelled resets its connection, so that the request is
+        not delivered any more to a server that stands still.
+
         Raises
         ------
         ConnectFailed
@@ -94,7 +97,7 @@
             if is_done:
                 self.release(conn)
             else:
-                conn.close()
+                conn.close(reset=True)
 
     def release(self, conn: ClientConnection) -> None:
         """Return a connection to the pool, or close it if it cannot be reused."""
--- a/packages/gateway/eelgrassdale_gateway/attempts.py
+++ b/packages/gateway/eelgrassdale_gateway/attempts.py
@@ -97,8 +97,9 @@
         """Send the request to a backend server.
 
         If the head of a response has not arrived by the monotonic time `latest_start`,
-        the attempt is withdrawn. Cancelling or withdrawing an attempt closes its
-        connection, which ends the work at the backend server.
+        the attempt is withdrawn. Cancelling or withdrawing an attempt resets its
+        connection, which ends the work at the backend server. The request is not
+        delivered any more to a server that stands still.
         """
         call.response_memory.release()
         # A late second copy of an earlier response to the same request would pass for
@@ -127,7 +128,7 @@
             )
             if not isinstance(outcome, Relayed):
                 if not is_reusable:
-                    conn.close()
+                    conn.close(reset=True)
                 await watch.wait_for_continuation()
         except ResponseSuperseded:
             continuation = watch.take_continuation()
@@ -140,7 +141,7 @@
             if is_reusable:
                 self._pool.release(conn)
             else:
-                conn.close()
+                conn.close(reset=True)
             await watch.stop()
         if isinstance(outcome, Lost | Answered | Relayed):
             outcome = evolve(outcome, is_disconnected=conn.is_disconnected)
--- a/packages/gateway/eelgrassdale_gateway/stalls.py
+++ b/packages/gateway/eelgrassdale_gateway/stalls.py
@@ -206,7 +206,7 @@
         if self._superseded.done():
             return
         self._superseded.set_result(None)
-        self._conn.close()
+        self._conn.close(reset=True)
         self._supersede_earlier()
 
     def _supersede_earlier(self) -> None:
