Await a paused response where no other server can give it

Change: it is given up only for another place, as the module says.

Measured: the new case of test_stalls.py, a pause of 1.2 s within 2 s, got 504 before, and the whole response now; the tests of forwarding, handovers and misbehaving servers pass.

--- a/packages/gateway/eelgrassdale_gateway/stalls.py
+++ b/packages/gateway/eelgrassdale_gateway/stalls.py
@@ -101,8 +101,8 @@
         Raises
         ------
         TimeoutError
-            If a response that is no stream stalls. `place` is another place for the
-            request, if there is one.
+            If a response that is no stream stalls and `place` is another place for
+            the request.
         ResponseSuperseded
             If the response stalls and another server has continued it.
         """
@@ -185,10 +185,10 @@
     def _end_search(self, seeking: "asyncio.Task[Place | None]") -> None:
         self._seeking = None
         self.place = _result_of(seeking)
-        if not self._is_stream:
-            raise TimeoutError
         if self.place is None:
             self.timer.extend(SEEK_INTERVAL_SECONDS)
+        elif not self._is_stream:
+            raise TimeoutError
         else:
             self._continuation = asyncio.ensure_future(self._continue())
 
--- a/packages/gateway/eelgrassdale_gateway/tests/test_stalls.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_stalls.py
@@ -13,6 +13,7 @@
     chunk,
     event,
     run_scenario,
+    signed_response,
     stream_head,
 )
 
@@ -117,3 +118,20 @@
         return after >= before, harness.dispatcher.waiting_count()
 
     assert run_scenario(scenario) == (True, 0)
+
+
+def test_whole_response_of_a_pausing_server_is_awaited_where_no_other_can_give_it():
+    """Guards against a failure well before the deadline, as a sound server pauses."""
+
+    async def pause_within_the_body(req, writer):
+        response = signed_response(req)
+        writer.write(response[:-1])
+        await asyncio.sleep(1.2)
+        writer.write(response[-1:])
+
+    async def scenario(harness):
+        await harness.start("plain", ScriptedBackend(reply=pause_within_the_body))
+        head, body = await harness.send_request("/safe/x", method="GET")
+        return head.status, body
+
+    assert run_scenario(scenario) == (200, b"ok")
