Let bodies in many small chunks take turns

Ruled out: a decoder that is not linear; its rate does not depend on the length of the body.

Change: bodies that were once cut at the number of chunks decode one piece a turn, all together. The time limit of a body holds while bytes keep coming.

--- a/packages/core/eelgrassdale/http1/callerbudget.py
+++ b/packages/core/eelgrassdale/http1/callerbudget.py
@@ -14,6 +14,8 @@
 import structlog
 from attrs import define, field
 
+from eelgrassdale.http1.inputturns import InputTurns
+
 DEFAULT_BYTE_LIMIT = 67_108_864
 DEFAULT_CONNECTION_LIMIT = 16_384
 # Part of a limit that is freed at a time, since the search looks at all connections.
@@ -139,6 +141,7 @@
         self.connections = SharedLimit(
             limit=connection_limit, outside=self._backend_connections
         )
+        self.input_turns = InputTurns()
         self.shares: list[ServerShare] = []
         self.forwarded_requests = 0
         # Numbers since the start of the process.
--- a/packages/core/eelgrassdale/http1/callerconnection.py
+++ b/packages/core/eelgrassdale/http1/callerconnection.py
@@ -402,6 +402,8 @@
     async def _read_body(self, limits: CallerLimits, head_bytes: int) -> bytes:
         deadline = self._loop.time() + limits.body_seconds
         while True:
+            if self._parser.has_many_chunks:
+                await self._share.budget.input_turns.wait()
             event = self._parser.next_event()
             if isinstance(event, h11.EndOfMessage):
                 if not self._body:
@@ -421,8 +423,10 @@
                 if self._parser.has_bytes_ahead:
                     # Other tasks run between two pieces that arrived together.
                     await asyncio.sleep(0)
-                    if self._refusal is not None:
-                        raise self._refusal
+                if self._refusal is not None:
+                    raise self._refusal
+                if self._loop.time() > deadline:
+                    raise _RequestRefused(408, "body not received in time")
                 continue
             try:
                 await self._receive(timeout=deadline - self._loop.time())
--- a/packages/core/eelgrassdale/http1/chunkedcoding.py
+++ b/packages/core/eelgrassdale/http1/chunkedcoding.py
@@ -41,6 +41,8 @@
     # Bytes of the present chunk that are still to come.
     _chunk_bytes_left: int = 0
     _trailer_bytes: int = 0
+    # Whether a piece ever ended because of the number of its chunks.
+    has_many_chunks: bool = False
 
     @property
     def is_complete(self) -> bool:
@@ -68,6 +70,7 @@
                 break
             chunk_count += is_at_size_line
             position = end
+        self.has_many_chunks |= chunk_count >= MAX_CHUNKS_PER_PIECE
         del buffer[:position]
         return b"".join(parts)
 
--- a/packages/core/eelgrassdale/http1/parsing.py
+++ b/packages/core/eelgrassdale/http1/parsing.py
@@ -83,6 +83,11 @@
         """Whether bytes were received that are not parsed yet."""
         return bool(self._buffer)
 
+    @property
+    def has_many_chunks(self) -> bool:
+        """Whether the body is in so many small chunks that it is costly to decode."""
+        return self._chunks is not None and self._chunks.has_many_chunks
+
     @property
     def buffered_bytes(self) -> int:
         """Number of bytes that were received and are not parsed yet."""
