Keep avoiding a store that does not answer

A listing of the avoided store that had no answer in time ended the avoidance, and the store was asked first again, without a limit.

Ruled out: that the other gateways recover late; by the log of the failed run they have copies before.

Change: such a store stays avoided and is asked last, for 1 s at a time.

Measured: the new case of test_sharedsource.py failed before.

--- a/packages/gateway/eelgrassdale_gateway/sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/sharedsource.py
@@ -48,6 +48,10 @@
 log = structlog.get_logger(__name__)
 
 
+class _AvoidedStoreSilent(StoreUnavailable):
+    """The store did not answer while a copy from it was known to be stale."""
+
+
 @frozen(kw_only=True)
 class LocalTopology:
     """A node, and the live gateways that it knows.
@@ -299,7 +303,7 @@
             async with asyncio.timeout(AVOIDED_STORE_TIMEOUT_SECONDS):
                 return await self._store.list(kind)
         except TimeoutError as exc:
-            raise StoreUnavailable("no answer of a store that is avoided") from exc
+            raise _AvoidedStoreSilent("no answer of a store that is avoided") from exc
 
     def _is_store_avoided(self) -> bool:
         """Return whether the store is in cooldown because a copy from it was stale."""
@@ -345,6 +349,10 @@
     ) -> None:
         self._sources.pop(kind, None)
         log.debug("reading objects from a source failed", kind=kind, reason=str(exc))
+        if isinstance(exc, _AvoidedStoreSilent):
+            # It goes on to be asked last, as nothing shows that it answers again.
+            self._start_cooldown(None, STALE_SOURCE_COOLDOWN_SECONDS)
+            return
         if address is None:
             self._start_cooldown(None, STORE_COOLDOWN_SECONDS)
             self._is_store_stale = False
--- a/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
+++ b/packages/gateway/eelgrassdale_gateway/tests/test_sharedsource.py
@@ -22,6 +22,8 @@
     StoreUnavailable,
 )
 from eelgrassdale_gateway.sharedsource import (
+    AVOIDED_STORE_TIMEOUT_SECONDS,
+    STORE_COOLDOWN_SECONDS,
     STORE_FALLBACK_DELAY_SECONDS,
     WATCHERS_PER_DATA_CENTRE,
     LocalTopology,
@@ -448,6 +450,26 @@
     assert run_with_silent_peer(scenario) == 2
 
 
+def test_store_that_stays_silent_is_not_waited_for_without_a_limit():
+    """Guards against a listing that waits although gateways have answers by then.
+
+    A store that had not answered in time was asked first again, without a limit.
+    """
+
+    async def scenario(store, source):
+        await source.list(KIND)
+        source.avoid_current_source(KIND)
+        store.unanswered_nodes.add("n-1")
+        for _ in range(2):
+            async with asyncio.timeout(2 * AVOIDED_STORE_TIMEOUT_SECONDS):
+                with pytest.raises(StoreUnavailable):
+                    await source.list(KIND)
+            source._clock.advance(seconds=STORE_COOLDOWN_SECONDS)
+            assert source._sources_to_list()[0] is not None
+
+    run_with_silent_peer(scenario)
+
+
 def test_change_after_a_silence_of_the_store_is_not_missed():
     """Guards against copies that stay behind watches without an answer."""
 
