--- a/packages/gateway/eelgrassdale_gateway/program.py
+++ b/packages/gateway/eelgrassdale_gateway/program.py
@@ -72,10 +72,9 @@
 # Shortest time of serving during shutdown: callers with an older list of gateways
 # still connect for a while.
 MIN_DRAIN_SECONDS = 2.0
-# Margins before the end of the time that the platform gives a process to stop: requests
-# end at the first.
+# In a stop, requests end this long before the platform kills the process.
 REQUEST_MARGIN_SECONDS = 1.3
-# Responses to slow readers are sent until the second, the rest is for the exit itself.
+# Responses to slow readers are sent until this long before it, the rest is its exit.
 EXIT_MARGIN_SECONDS = 0.6
 DRAIN_POLL_SECONDS = 0.05
 # Parts of the limits of callers that other servers of the process cannot take.
