--- a/review/standins-3/runner.py
+++ b/review/standins-3/runner.py
@@ -14,6 +14,8 @@
 - `unframed_resumed`: answers to `Last-Event-Id` have neither a length nor chunks
 - `pause_file`, `pause_s`: while this file exists, the runner falls silent for so long
   between the head of a stream and its first event
+- `version_file`: from when this file exists, the runner holds the version in it, as if
+  its agent had ordered the load
 - `beats`: false for a runner that another one writes for
 """
 
@@ -31,11 +33,19 @@
 STREAM_PIECES = CFG.get("pieces", 8)
 PIECE_GAP = CFG.get("piece_gap_s", 0.1)
 WORK = CFG.get("work_s", 0.02)
-VERSION = CFG.get("version", 0)
 MODEL = CFG.get("model", "m0")
 BORN = time.time_ns() // 1_000_000
 
 
+def version():
+    """Return the version of the weights that the runner holds."""
+    path = CFG.get("version_file")
+    if path and os.path.exists(path):
+        with open(path, encoding="utf-8") as file:
+            return int(file.read())
+    return CFG.get("version", 0)
+
+
 def say(event, **fields):
     """Print a line of the record."""
     fields |= {"at": time.monotonic(), "event": event, "runner": CFG["id"]}
@@ -45,11 +55,9 @@
 def entry(sequence):
     """Return the entry in the store."""
     models = []
-    if VERSION:
-        layers = [{"From": 0, "Target": 16, "Version": VERSION}]
-        models = [
-            {"Name": MODEL, "Version": VERSION, "Adapters": [], "layers": layers}
-        ]
+    if held := version():
+        layers = [{"From": 0, "Target": 16, "Version": held}]
+        models = [{"Name": MODEL, "Version": held, "Adapters": [], "layers": layers}]
     return {
         "Service": CFG.get("service", "plain"),
         "Address": f"{CFG['host']}:{CFG['port']}",
@@ -89,8 +97,8 @@
         "Attempt-Id": message.get("attempt-id"),
         "Response-Seal": f"seal.{CFG['id']}.{message.get('attempt-id')}",
     }
-    if VERSION:
-        headers["Weight-Versions"] = str(VERSION)
+    if held := version():
+        headers["Weight-Versions"] = str(held)
     return headers
 
 
@@ -133,7 +141,7 @@
     await asyncio.sleep(WORK)
     for number in range(last + 1, STREAM_PIECES + 1):
         if number == last + 1:
-            say("began", **fields, version=VERSION, last=last)
+            say("began", **fields, version=version(), last=last)
         else:
             await asyncio.sleep(PIECE_GAP)
         event = f"id: {number}\ndata: piece {number} of {STREAM_PIECES}\n\n".encode()
