--- a/review/standins-3/runner.py
+++ b/review/standins-3/runner.py
@@ -16,6 +16,9 @@
   between the head of a stream and its first event
 - `version_file`: from when this file exists, the runner holds the version in it, as if
   its agent had ordered the load
+- `deadly_part`: the runner crashes when it begins to write an answer on this part of a
+  prompt
+- `late_head`: the head of a stream goes out with its first token and not before
 - `beats`: false for a runner that another one writes for
 """
 
@@ -110,6 +113,8 @@
         await writer.drain()
         return True
     fields = {"id": message.get("attempt-id"), "method": method, "target": target}
+    if is_deadly(message):
+        fields["deadly"] = True
     say("arrived", **fields, last=message.get("last-event-id"))
     if target.startswith("/stream"):
         return await stream(message, writer, fields)
@@ -121,6 +126,13 @@
     return True
 
 
+def is_deadly(message):
+    """Return whether the prompt holds the part that crashes runners."""
+    entries = message.get("prompt-prefix").split(",")
+    parts = [entry.partition(":")[0] for entry in entries]
+    return CFG.get("deadly_part", "") in parts[:-1]
+
+
 async def stream(message, writer, fields):
     """Answer with events; the request begins to run with its first token."""
     last = int(message.get("last-event-id") or 0)
@@ -131,6 +143,12 @@
     else:
         headers["Transfer-Encoding"] = "chunked"
     lines = ["HTTP/1.1 200 OK", *(f"{n}: {v}" for n, v in headers.items())]
+    if CFG.get("late_head"):
+        # The head goes out with the first token.
+        await asyncio.sleep(WORK)
+        if is_deadly(message):
+            say("crashed", **fields)
+            os._exit(1)
     writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
     await writer.drain()
     say("head", **fields, last=last, unframed=is_unframed)
@@ -139,6 +157,9 @@
         say("pause", **fields)
         await asyncio.sleep(CFG["pause_s"])
     await asyncio.sleep(WORK)
+    if is_deadly(message):
+        say("crashed", **fields)
+        os._exit(1)
     for number in range(last + 1, STREAM_PIECES + 1):
         if number == last + 1:
             say("began", **fields, version=version(), last=last)
