--- a/review/standins-3/runner.py
+++ b/review/standins-3/runner.py
@@ -16,6 +16,7 @@
   between the head of a stream and its first event
 - `version_file`: from when this file exists, the runner holds the version in it, as if
   its agent had ordered the load
+- `cold_s`: for so long after its start the runner is cold
 - `deadly_part`: the runner crashes when it begins to write an answer on this part of a
   prompt
 - `late_head`: the head of a stream goes out with its first token and not before
@@ -37,6 +38,7 @@
 PIECE_GAP = CFG.get("piece_gap_s", 0.1)
 WORK = CFG.get("work_s", 0.02)
 MODEL = CFG.get("model", "m0")
+STARTED_AT = time.monotonic()
 BORN = time.time_ns() // 1_000_000
 
 
@@ -49,6 +51,12 @@
     return CFG.get("version", 0)
 
 
+def cold_left_ms():
+    """Return for how many milliseconds the runner stays cold."""
+    left = CFG.get("cold_s", 0.0) - (time.monotonic() - STARTED_AT)
+    return max(0, round(left * 1000))
+
+
 def say(event, **fields):
     """Print a line of the record."""
     fields |= {"at": time.monotonic(), "event": event, "runner": CFG["id"]}
@@ -68,7 +76,7 @@
         "Version": "v1",
         "Slots": CFG.get("slots", 16),
         "State": "ready",
-        "ColdLeftMs": 0,
+        "ColdLeftMs": cold_left_ms(),
         "Stage": "both",
         "Models": models,
         "Sequence": sequence,
--- a/review/standins-3/scene.py
+++ b/review/standins-3/scene.py
@@ -84,6 +84,8 @@
         self.begun_at = time.monotonic()
         self.lock = threading.Lock()
         self.store = None
+        # Lines of runners that don't go into the record.
+        self.left_out = set()
 
     def say(self, text, at=None):
         """Write a line into the record, with seconds since the start."""
@@ -132,9 +134,10 @@
         def on_line(event):
             with self.lock:
                 self.events.append(event)
-            at = event.pop("at")
-            self.say(json.dumps(event), at=at)
-            event["at"] = at
+            at = event["at"]
+            if event["event"] not in self.left_out:
+                fields = {k: v for k, v in event.items() if k != "at"}
+                self.say(json.dumps(fields), at=at)
 
         command = [sys.executable, str(HERE / "runner.py"), json.dumps(cfg)]
         self.spawn(name, command, on_line=on_line)
@@ -204,6 +207,20 @@
         self.say(f"signal {signum} to {name}")
         self.processes[name].send_signal(signum)
 
+    async def stop_and_start(self, name, *, grace_seconds=8.0, delay=0.3):
+        """Stop a gateway as the platform does, and start it again after its end."""
+        process = self.processes[name]
+        self.kill(name, signal.SIGTERM)
+        ends_at = time.monotonic() + grace_seconds
+        while process.poll() is None:
+            if time.monotonic() > ends_at:
+                self.kill(name)
+                ends_at = float("inf")
+            await asyncio.sleep(0.02)
+        self.say(f"{name} has ended with status {process.returncode}")
+        await asyncio.sleep(delay)
+        self.start_gateway(name)
+
     def died(self, name):
         """Return whether a process has ended."""
         return self.processes[name].poll() is not None
