Add a review case: reservations reach a runner that leaves, and are lost

Cause: all gateways of a zone wait up to 2.6 s for the two that watch the store when these stand still.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""VERSION: a request begins on an older version too late. See claim.txt."""
+"""DRAIN: requests reach a runner that leaves, and are lost. See claim.txt."""
 
 import asyncio
 import sys
@@ -8,101 +8,116 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "standins-3"))
 
+import httpmini  # noqa: E402
 import scene as s  # noqa: E402
 
-RUNNERS = 6
-# A sound runner that pauses "for a second or so".
-PAUSE_SECONDS = 1.35
-# When it does so, after version 2 was acknowledged.
-PAUSE_FROM, PAUSE_TO = 6.5, 7.3
-# When the runners hold version 2.
-FIRST_LOADED, OTHERS_LOADED = 4.0, 9.0
-REQUESTS_PER_SECOND = 12
-LAST_SENT = 10.0
+sys.path.insert(0, str(s.ROOT / "target" / "deps"))
+
+GATEWAYS = [f"g-{number:02d}" for number in range(1, 21)]
+FROZEN = 2
+FREEZE_SECONDS = 4.0
+DRAIN_SECONDS = s.BOUNDS["DrainMs"] / 1000
+# The runner serves on for a little longer than `DrainMs`, and then exits.
+EXIT_AFTER = 2.6
+FIRST_REQUEST, LAST_REQUEST = 2.15, 2.5
+
+
+def watchers():
+    """Return the gateways that watch the store for the others of their zone."""
+    from eelgrassdale_gateway.sharedsource import select_watchers
+
+    return select_watchers("a", GATEWAYS)
 
 
 async def case(scene):
-    """Name version 2 while runners pause between the head and the first event."""
+    """Freeze two of twenty gateways as a runner says that it leaves."""
     scene.start_store()
-    await scene.write(
-        "config",
-        "main",
-        s.configuration(
-            [s.route("r1", "app.example", "/stream/", "llm", "stream")],
-            [s.engine_service("llm")],
-        ),
+    route = s.route(
+        "r1", "app.example", "/order/", "desk", "unsafe", MaxAttempts=1, Resumable=False
     )
-    await scene.write("versions", "m0", {"Model": "m0", "Version": 1})
-    pause_file = scene.path / "pause"
-    files = []
-    for number in range(RUNNERS):
-        files.append(scene.path / f"version-{number}")
-        scene.start_runner(
-            f"i-{number}",
-            service="llm",
-            version=1,
-            pieces=4,
-            piece_gap_s=0.05,
-            work_s=0.05,
-            version_file=str(files[-1]),
-            pause_file=str(pause_file),
-            pause_s=PAUSE_SECONDS,
-        )
-    hosts = scene.start_gateways(["g-1"], zones={"a": "ra"}, zone_of={"g-1": "a"})
-    await scene.wait_ready(hosts["g-1"])
-    await asyncio.sleep(5.0)
-    named_at = await scene.write("versions", "m0", {"Model": "m0", "Version": 2})
+    await scene.write("config", "main", s.configuration([route], [s.plain_service("desk")]))
+    drain_file = scene.path / "drain"
+    for name in ("i-stays", "i-leaves"):
+        cfg = {"service": "desk", "slots": 6, "work_s": 0.25}
+        if name == "i-leaves":
+            cfg["drain_file"] = str(drain_file)
+        scene.start_runner(name, **cfg)
+    hosts = scene.start_gateways(
+        GATEWAYS, zones={"a": "ra"}, zone_of=dict.fromkeys(GATEWAYS, "a")
+    )
+    for host in hosts.values():
+        await scene.wait_ready(host)
+    # Until each gateway knows the others, and follows those that watch the store.
+    await asyncio.sleep(8.0)
+    frozen = watchers()[:FROZEN]
+    if s.trouble():
+        for name in frozen:
+            scene.kill(name, s.signal.SIGSTOP)
+    await asyncio.sleep(0.05)
+    status, item = await httpmini.call(
+        scene.store, "GET", "/v1/objects/servers/i-leaves"
+    )
+    if status != 200:
+        raise s.CannotRun("the runner has no entry")
+    drain_file.write_text("")
+    acked_at = await scene.write(
+        "servers", "i-leaves", item["Spec"] | {"State": "draining"}
+    )
+
+    async def until(seconds):
+        await asyncio.sleep(max(0.0, acked_at + seconds - time.monotonic()))
 
-    def since():
-        return time.monotonic() - named_at
+    async def ends():
+        await until(EXIT_AFTER)
+        scene.kill("i-leaves")
+        if s.trouble():
+            await until(FREEZE_SECONDS)
+            for name in frozen:
+                scene.kill(name, s.signal.SIGCONT)
 
+    ending = asyncio.ensure_future(ends())
+    calm = [name for name in GATEWAYS if name not in frozen]
+    step = (LAST_REQUEST - FIRST_REQUEST) / len(calm)
     tasks = []
-    is_paused = False
-    while since() < LAST_SENT:
-        tasks.append(
-            asyncio.ensure_future(
-                s.send(
-                    scene,
-                    hosts["g-1"],
-                    "/stream/a",
-                    method="POST",
-                    headers={"Model": "m0", "Token-Counts": "600,60"},
-                    body=b"{}",
-                )
-            )
+    for number, name in enumerate(calm):
+        # It is a quiet hour: one reservation at each gateway.
+        await until(FIRST_REQUEST + number * step)
+        request = s.send(
+            scene,
+            hosts[name],
+            "/order/a",
+            method="POST",
+            body=b"{}",
+            deadline_ms=1043,
         )
-        if since() >= FIRST_LOADED and not files[0].exists():
-            scene.say("half of the runners hold version 2 from now on")
-            for file in files[::2]:
-                file.write_text("2")
-        if since() >= OTHERS_LOADED and not files[1].exists():
-            scene.say("the others hold version 2 from now on")
-            for file in files[1::2]:
-                file.write_text("2")
-        should_pause = s.trouble() and PAUSE_FROM <= since() < PAUSE_TO
-        if should_pause != is_paused:
-            is_paused = should_pause
-            if is_paused:
-                pause_file.write_text("")
-            else:
-                pause_file.unlink()
-        await asyncio.sleep(1 / REQUESTS_PER_SECOND)
+        tasks.append(asyncio.ensure_future(request))
     answers = await asyncio.gather(*tasks)
-    limit = named_at + s.BOUNDS["version_ms"] / 1000
+    await ending
     late = [
         e
         for e in scene.events
-        if e["event"] == "began" and e["version"] < 2 and e["at"] > limit
+        if e["event"] == "arrived"
+        and e["runner"] == "i-leaves"
+        and e["at"] > acked_at + DRAIN_SECONDS
     ]
+    ended = {
+        e["id"]
+        for e in scene.events
+        if e["event"] == "ended" and e["runner"] == "i-leaves"
+    }
     for event in late:
         scene.say(
-            f"VERSION: {event['id']} began at {event['runner']} on version 1, "
-            f"{event['at'] - named_at:.3f} s after version 2 was acknowledged"
+            f"DRAIN: {event['id']} reached the leaving runner "
+            f"{event['at'] - acked_at:.3f} s after its entry was acknowledged"
         )
-    served = sum(a.is_complete for a in answers)
-    scene.say(f"{served} of {len(answers)} requests served")
-    if served < 0.5 * len(answers):
-        raise s.CannotRun("too few requests were served")
+    lost = [e["id"] for e in late if e["id"] not in ended]
+    failed = sum(a.status != 200 for a in answers)
+    scene.say(
+        f"{len(late)} requests came too late, {len(lost)} of them were cut off as the "
+        f"runner exited; {failed} of {len(answers)} clients got no 200"
+    )
+    if not any(a.status == 200 for a in answers):
+        raise s.CannotRun("no request was served")
     return 1 if late else 0
 
 
--- a/review/standins-3/runner.py
+++ b/review/standins-3/runner.py
@@ -16,6 +16,8 @@
   between the head of a stream and its first event
 - `version_file`: from when this file exists, the runner holds the version in it, as if
   its agent had ordered the load
+- `drain_file`: from when this file exists, the runner says that it leaves, in its entry
+  and in all its answers
 - `cold_s`: for so long after its start the runner is cold
 - `deadly_part`: the runner crashes when it begins to write an answer on this part of a
   prompt
@@ -51,6 +53,12 @@
     return CFG.get("version", 0)
 
 
+def is_leaving():
+    """Return whether the runner leaves."""
+    path = CFG.get("drain_file")
+    return bool(path) and os.path.exists(path)
+
+
 def cold_left_ms():
     """Return for how many milliseconds the runner stays cold."""
     left = CFG.get("cold_s", 0.0) - (time.monotonic() - STARTED_AT)
@@ -75,7 +83,7 @@
         "Zone": CFG.get("zone", "a"),
         "Version": "v1",
         "Slots": CFG.get("slots", 16),
-        "State": "ready",
+        "State": "draining" if is_leaving() else "ready",
         "ColdLeftMs": cold_left_ms(),
         "Stage": "both",
         "Models": models,
@@ -108,6 +116,8 @@
         "Attempt-Id": message.get("attempt-id"),
         "Response-Seal": f"seal.{CFG['id']}.{message.get('attempt-id')}",
     }
+    if is_leaving():
+        headers["Server-Leaving"] = "1"
     if held := version():
         headers["Weight-Versions"] = str(held)
     return headers
