--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,7 @@
 """DRAIN: requests reach a runner that leaves, and are lost. See claim.txt."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -13,8 +14,11 @@
 
 sys.path.insert(0, str(s.ROOT / "target" / "deps"))
 
-GATEWAYS = [f"g-{number:02d}" for number in range(1, 21)]
-FROZEN = 2
+# ZONES=3 plays the same with 40 gateways in three zones, and four of them frozen.
+ZONE_COUNT = int(os.environ.get("ZONES", "1"))
+ZONES = {zone: f"r{zone}" for zone in "abc"[:ZONE_COUNT]}
+NAMES = [f"g-{number:02d}" for number in range(1, 21 if ZONE_COUNT == 1 else 41)]
+GATEWAYS = {name: "abc"[n % ZONE_COUNT] for n, name in enumerate(NAMES)}
 FREEZE_SECONDS = 4.0
 DRAIN_SECONDS = s.BOUNDS["DrainMs"] / 1000
 # The runner serves on for a little longer than `DrainMs`, and then exits.
@@ -22,15 +26,24 @@
 FIRST_REQUEST, LAST_REQUEST = 2.15, 2.5
 
 
-def watchers():
-    """Return the gateways that watch the store for the others of their zone."""
+def gateways_to_freeze():
+    """Return a tenth of the gateways.
+
+    They are the two that watch the store for zone a, and the one of each other zone
+    that reports to it.
+    """
+    from eelgrassdale.hashing import rendezvous_order
     from eelgrassdale_gateway.sharedsource import select_watchers
 
-    return select_watchers("a", GATEWAYS)
+    members = {zone: [g for g in NAMES if GATEWAYS[g] == zone] for zone in ZONES}
+    chosen = list(select_watchers("a", members["a"]))
+    for zone in list(ZONES)[1:]:
+        chosen += rendezvous_order(key=f"report/{zone}", members=members[zone])[:1]
+    return chosen
 
 
 async def case(scene):
-    """Freeze two of twenty gateways as a runner says that it leaves."""
+    """Freeze a tenth of the gateways as a runner says that it leaves."""
     scene.start_store()
     route = s.route(
         "r1", "app.example", "/order/", "desk", "unsafe", MaxAttempts=1, Resumable=False
@@ -42,14 +55,12 @@
         if name == "i-leaves":
             cfg["drain_file"] = str(drain_file)
         scene.start_runner(name, **cfg)
-    hosts = scene.start_gateways(
-        GATEWAYS, zones={"a": "ra"}, zone_of=dict.fromkeys(GATEWAYS, "a")
-    )
+    hosts = scene.start_gateways(NAMES, zones=ZONES, zone_of=GATEWAYS)
     for host in hosts.values():
         await scene.wait_ready(host)
     # Until each gateway knows the others, and follows those that watch the store.
     await asyncio.sleep(8.0)
-    frozen = watchers()[:FROZEN]
+    frozen = gateways_to_freeze()
     if s.trouble():
         for name in frozen:
             scene.kill(name, s.signal.SIGSTOP)
@@ -76,7 +87,7 @@
                 scene.kill(name, s.signal.SIGCONT)
 
     ending = asyncio.ensure_future(ends())
-    calm = [name for name in GATEWAYS if name not in frozen]
+    calm = [g for g in NAMES if GATEWAYS[g] == "a" and g not in frozen]
     step = (LAST_REQUEST - FIRST_REQUEST) / len(calm)
     tasks = []
     for number, name in enumerate(calm):
